--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+export PYTHONHASHSEED := 0
+
+.PHONY: run test check format bench matrix slopes binary clean
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+run: $(VENV)/.installed
+	$(BIN)/python -m examples.demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+check: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m benchmarks
+
+slopes: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.slopes
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/galenarill/consensus/journal.py
@@ -0,0 +1,271 @@
+"""Files in which a replica keeps its log."""
+
+import os
+import pathlib
+import secrets
+import struct
+
+import cbor2
+import msgspec
+import xxhash
+
+from galenarill.consensus.messages import Entry, HardState, Snapshot
+from galenarill.errors import JournalCorruptError, JournalError
+
+__all__ = ["Journal", "JournalContents", "open_journal"]
+
+JOURNAL_FILE = "journal"
+SNAPSHOT_FILE = "snapshot"
+DISK_FILE = "disk-id"
+HEADER = struct.Struct("<IQ")
+MAX_RECORD_BYTES = 64 * 1024 * 1024
+
+
+class JournalContents(msgspec.Struct):
+    """What a data folder holds.
+
+    Attributes:
+        disk: Id of the disk.
+        hard_state: Latest hard state.
+        snapshot: Snapshot, or None if the disk belongs to no log yet.
+        entries: Entries after the snapshot.
+        torn_bytes: Bytes of an unfinished write that were cut off.
+    """
+
+    disk: str
+    hard_state: HardState
+    snapshot: Snapshot | None
+    entries: list[Entry]
+    torn_bytes: int = 0
+
+
+class _Record(msgspec.Struct, array_like=True, omit_defaults=True):
+    hard_state: HardState | None = None
+    entries: list[Entry] = []
+
+
+class Journal:
+    """An append-only file of checksummed records, and a snapshot beside it.
+
+    One `append` is one record and one sync, however many entries it holds.
+    """
+
+    def __init__(self, folder: pathlib.Path, file: int):
+        """Wrap an open journal; see `open_journal`."""
+        self._folder = folder
+        self._file = file
+
+    @property
+    def size(self) -> int:
+        """Size of the journal file in bytes."""
+        return os.fstat(self._file).st_size
+
+    def append(
+        self, hard_state: HardState | None, entries: list[Entry]
+    ) -> None:
+        """Write and sync one record.
+
+        Args:
+            hard_state: Hard state, if it has changed.
+            entries: Entries, which replace those from the first index on.
+
+        Raises:
+            JournalError: If the disk refuses. The journal must then not be
+                used any more, because what has reached the disk is unknown.
+        """
+        data = _encode_record(_Record(hard_state, entries))
+        try:
+            _write_all(self._file, data)
+            os.fdatasync(self._file)
+        except OSError as error:
+            raise JournalError(f"cannot write the journal: {error}") from error
+
+    def install(
+        self,
+        snapshot: Snapshot,
+        hard_state: HardState,
+        entries: tuple[Entry, ...],
+    ) -> None:
+        """Replace the contents by a snapshot and the entries that follow it.
+
+        Args:
+            snapshot: Snapshot.
+            hard_state: Current hard state.
+            entries: Entries after the snapshot.
+
+        Raises:
+            JournalError: If the disk refuses.
+        """
+        try:
+            # A crash between the two renames leaves a journal that begins
+            # before the snapshot, which is read correctly.
+            _replace(
+                self._folder / SNAPSHOT_FILE,
+                _encode(msgspec.to_builtins(snapshot)),
+            )
+            record = _encode_record(_Record(hard_state, list(entries)))
+            _replace(self._folder / JOURNAL_FILE, record)
+            os.close(self._file)
+            self._file = _open_append(self._folder / JOURNAL_FILE)
+        except OSError as error:
+            raise JournalError(f"cannot write a snapshot: {error}") from error
+
+    def close(self) -> None:
+        """Close the journal file."""
+        os.close(self._file)
+
+
+def open_journal(folder: pathlib.Path) -> tuple[Journal, JournalContents]:
+    """Open the journal in `folder`, which is made if it is missing.
+
+    An unfinished record at the end is cut off: its write was never synced, so
+    nothing was promised on it.
+
+    Args:
+        folder: Data folder.
+
+    Returns:
+        The journal and its contents.
+
+    Raises:
+        JournalCorruptError: If a record before the end is damaged.
+        JournalError: If the folder cannot be used.
+    """
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        disk = _read_disk_id(folder)
+        snapshot = _read_snapshot(folder / SNAPSHOT_FILE)
+        path = folder / JOURNAL_FILE
+        if not path.exists():
+            if snapshot is not None:
+                raise JournalCorruptError(f"{path} is missing")
+            _replace(path, b"")
+        hard_state, entries, torn = _read_journal(path, snapshot)
+        return (
+            Journal(folder, _open_append(path)),
+            JournalContents(disk, hard_state, snapshot, entries, torn),
+        )
+    except OSError as error:
+        raise JournalError(f"cannot open {folder}: {error}") from error
+
+
+def _read_disk_id(folder: pathlib.Path) -> str:
+    path = folder / DISK_FILE
+    if path.exists():
+        return path.read_text().strip()
+    if (folder / JOURNAL_FILE).exists():
+        raise JournalCorruptError(f"{path} is missing")
+    disk = secrets.token_hex(8)
+    _replace(path, disk.encode())
+    return disk
+
+
+def _read_snapshot(path: pathlib.Path) -> Snapshot | None:
+    if not path.exists():
+        return None
+    payloads, good = _split_records(path.read_bytes())
+    if len(payloads) != 1 or good != path.stat().st_size:
+        raise JournalCorruptError(f"{path} is damaged")
+    return _convert(payloads[0], Snapshot, path)
+
+
+def _read_journal(
+    path: pathlib.Path, snapshot: Snapshot | None
+) -> tuple[HardState, list[Entry], int]:
+    data = path.read_bytes()
+    payloads, good = _split_records(data)
+    if _has_record_after(data, good):
+        raise JournalCorruptError(f"{path} is damaged at byte {good}")
+    if good < len(data):
+        os.truncate(path, good)
+    hard_state = HardState()
+    entries: dict[int, Entry] = {}
+    for payload in payloads:
+        record = _convert(payload, _Record, path)
+        hard_state = record.hard_state or hard_state
+        if record.entries:
+            first = record.entries[0].index
+            for index in [i for i in entries if i >= first]:
+                del entries[index]
+            entries.update((entry.index, entry) for entry in record.entries)
+    base = snapshot.index if snapshot else 0
+    following = [entries[i] for i in sorted(entries) if i > base]
+    for position, entry in enumerate(following, base + 1):
+        if entry.index != position:
+            raise JournalCorruptError(f"{path} lacks entry {position}")
+    return hard_state, following, len(data) - good
+
+
+def _split_records(data: bytes) -> tuple[list[bytes], int]:
+    """Return the undamaged records at the start, and where they end."""
+    payloads = []
+    offset = 0
+    while (payload := _record_at(data, offset)) is not None:
+        payloads.append(payload)
+        offset += HEADER.size + len(payload)
+    return payloads, offset
+
+
+def _record_at(data: bytes, offset: int) -> bytes | None:
+    start = offset + HEADER.size
+    if start > len(data):
+        return None
+    length, checksum = HEADER.unpack_from(data, offset)
+    if not 0 < length <= MAX_RECORD_BYTES or start + length > len(data):
+        return None
+    payload = data[start : start + length]
+    if xxhash.xxh3_64_intdigest(payload) != checksum:
+        return None
+    return payload
+
+
+def _has_record_after(data: bytes, offset: int) -> bool:
+    """Tell whether an undamaged record stands behind a damaged one."""
+    return any(
+        _record_at(data, position) is not None
+        for position in range(offset + 1, len(data) - HEADER.size)
+    )
+
+
+def _convert(payload: bytes, kind, path: pathlib.Path):
+    try:
+        return msgspec.convert(cbor2.loads(payload), kind)
+    except (msgspec.ValidationError, cbor2.CBORDecodeError) as error:
+        raise JournalCorruptError(f"{path} is damaged: {error}") from error
+
+
+def _encode(value) -> bytes:
+    payload = cbor2.dumps(value)
+    checksum = xxhash.xxh3_64_intdigest(payload)
+    return HEADER.pack(len(payload), checksum) + payload
+
+
+def _encode_record(record: _Record) -> bytes:
+    return _encode(msgspec.to_builtins(record))
+
+
+def _open_append(path: pathlib.Path) -> int:
+    return os.open(path, os.O_WRONLY | os.O_APPEND)
+
+
+def _write_all(file: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(file, view) :]
+
+
+def _replace(path: pathlib.Path, data: bytes) -> None:
+    """Write a file so that after a crash it is wholly old or wholly new."""
+    temporary = path.with_name(f"{path.name}.new")
+    file = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        _write_all(file, data)
+        os.fsync(file)
+    finally:
+        os.close(file)
+    os.replace(temporary, path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
--- /dev/null
+++ b/galenarill/consensus/replica.py
@@ -0,0 +1,740 @@
+"""One replica of the replicated log, without I/O or clock."""
+
+import dataclasses
+import enum
+import random
+
+import cbor2
+import msgspec
+
+from galenarill.consensus import messages
+from galenarill.consensus.log import ReplicaLog
+from galenarill.consensus.messages import (
+    Configuration,
+    Entry,
+    EntryKind,
+    HardState,
+    Snapshot,
+)
+from galenarill.errors import NotLeaderError
+from galenarill.world import VmId
+
+__all__ = [
+    "Replica",
+    "Role",
+    "Ready",
+    "HEARTBEAT_SECONDS",
+    "ELECTION_SECONDS",
+    "encode_configuration",
+]
+
+HEARTBEAT_SECONDS = 0.25
+# Replicas that do not vote hear of an idle leader this often.
+OBSERVER_HEARTBEAT_SECONDS = 1.0
+# Shortest silence of the leader after which a replica stands for election.
+ELECTION_SECONDS = 1.0
+# Allowance for clocks that run at different rates.
+CLOCK_MARGIN_SECONDS = 0.1
+MAX_APPEND_ENTRIES = 64
+# A learner votes once it is at most this many entries behind.
+PROMOTION_LAG_ENTRIES = 8
+IDENTIFY_SECONDS = 0.5
+
+
+class Role(enum.Enum):
+    """Part that a replica plays."""
+
+    BLANK = "blank"
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclasses.dataclass(slots=True)
+class Ready:
+    """What the driver has to do, in this order.
+
+    Attributes:
+        snapshot: Snapshot to store in place of the log, or None.
+        hard_state: Hard state to store, or None.
+        entries: Entries to store, replacing those from the first index on.
+        messages: Messages to send once the above is synced.
+        committed: Entries to apply once the above is synced.
+        restore: Snapshot to load into the state machine, or None.
+    """
+
+    snapshot: Snapshot | None = None
+    hard_state: HardState | None = None
+    entries: list[Entry] = dataclasses.field(default_factory=list)
+    messages: list[tuple[VmId, object]] = dataclasses.field(
+        default_factory=list
+    )
+    committed: list[Entry] = dataclasses.field(default_factory=list)
+    restore: Snapshot | None = None
+
+    @property
+    def needs_sync(self) -> bool:
+        """Whether anything has to reach the disk."""
+        return bool(self.snapshot or self.hard_state or self.entries)
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    next_index: int
+    match_index: int = 0
+    # Times at which messages were sent, by sequence number.
+    sent: dict[int, float] = dataclasses.field(default_factory=dict)
+    confirmed_at: float = float("-inf")
+    heartbeat_deadline: float = 0.0
+    disk: str = ""
+
+
+class Replica:
+    """Leader election and replication, after Raft.
+
+    Pre-votes keep a replica that was cut off from disturbing the others. A
+    leader that has not heard from a majority for `ELECTION_SECONDS` steps
+    down, and followers refuse votes for as long after they heard from it, so a
+    confirmed leader is the only one. A voter counts only with the disk that
+    the configuration names; one that comes back with another disk becomes a
+    learner, and votes again when it has caught up.
+
+    Blank replicas form a log only when every configured voter is blank.
+
+    The driver feeds in time and messages, takes a `Ready`, stores it, sends
+    its messages, applies its entries and reports `synced`. Several proposals
+    between two calls of `take_ready` share one sync.
+
+    References:
+        Ongaro, Ousterhout. In Search of an Understandable Consensus Algorithm.
+        USENIX ATC 2014. Ongaro. Consensus: Bridging Theory and Practice. 2014.
+    """
+
+    def __init__(
+        self,
+        vm: VmId,
+        peers: frozenset[VmId],
+        initial_voters: frozenset[VmId],
+        disk: str,
+        rng: random.Random,
+        now: float,
+        *,
+        hard_state: HardState | None = None,
+        snapshot: Snapshot | None = None,
+        entries: list[Entry] | None = None,
+    ):
+        """Make a replica.
+
+        Args:
+            vm: VM of this replica.
+            peers: The other entry VMs, voters or not.
+            initial_voters: Voters that form a new log.
+            disk: Id of this replica's disk, or "" if it has none.
+            rng: Source of election timeouts.
+            now: Time in seconds.
+            hard_state: What the disk holds.
+            snapshot: What the disk holds, or None if it is blank.
+            entries: What the disk holds.
+        """
+        self._vm = vm
+        self._peers = peers
+        self._initial_voters = initial_voters
+        self._disk = disk
+        self._rng = rng
+        self._hard_state = hard_state or HardState()
+        self._is_blank = snapshot is None
+        self._log = ReplicaLog(
+            snapshot or Snapshot(0, 0, Configuration({}), b"")
+        )
+        self._log.append(entries or [])
+        self._configurations = [(0, self._log.snapshot.configuration)]
+        self._note_configurations(entries or [])
+        self._commit = self._log.snapshot.index
+        self._applied = self._log.snapshot.index
+        self._synced = self._log.last_index
+        self._role = Role.BLANK if self._is_blank else Role.FOLLOWER
+        self._leader: VmId | None = None
+        self._leader_heard_at = float("-inf")
+        self._confirmed_commit = -1
+        self._votes: set[VmId] = set()
+        self._progress: dict[VmId, _Progress] = {}
+        self._sequence = 0
+        self._term_started_at = 0.0
+        self._election_deadline = 0.0
+        self._identify_deadline = now
+        self._blank_disks: dict[VmId, str] = {}
+        self._ready = Ready()
+        # A voter may have promised its vote just before it restarted.
+        self._vote_deadline = now + ELECTION_SECONDS
+        self._reset_election(now)
+
+    @property
+    def role(self) -> Role:
+        """Part that this replica plays."""
+        return self._role
+
+    @property
+    def term(self) -> int:
+        """Latest term known."""
+        return self._hard_state.term
+
+    @property
+    def leader(self) -> VmId | None:
+        """Leader of the current term, if known."""
+        return self._leader
+
+    @property
+    def commit(self) -> int:
+        """Last entry known to be committed."""
+        return self._commit
+
+    @property
+    def log(self) -> ReplicaLog:
+        """Entries that follow the snapshot."""
+        return self._log
+
+    @property
+    def disk(self) -> str:
+        """Id of this replica's disk."""
+        return self._disk
+
+    @property
+    def configuration(self) -> Configuration:
+        """Latest configuration in the log, committed or not."""
+        return self._configurations[-1][1]
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica votes, with the disk that it has."""
+        voters = self.configuration.voters
+        return bool(self._disk) and voters.get(self._vm) == self._disk
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether everything that `take_ready` gave out is on disk."""
+        return self._synced == self._log.last_index
+
+    def is_confirmed(self, now: float) -> bool:
+        """Tell whether this replica surely is the only leader."""
+        if self._role is not Role.LEADER:
+            return False
+        limit = now - ELECTION_SECONDS + CLOCK_MARGIN_SECONDS
+        return self._quorum(self._confirmations(), limit)
+
+    def is_current(self) -> bool:
+        """Tell whether all that a confirmed leader had committed is applied.
+
+        It stays true from the first time on, since versions only rise.
+        """
+        return 0 <= self._confirmed_commit <= self._applied
+
+    def is_leader_alive(self, now: float) -> bool:
+        """Tell whether a leader was heard from within the election timeout."""
+        if self._role is Role.LEADER:
+            return self.is_confirmed(now)
+        return now < self._leader_heard_at + 2 * ELECTION_SECONDS
+
+    def tick(self, now: float) -> None:
+        """Let time pass."""
+        if self._role is Role.LEADER:
+            self._tick_leader(now)
+            return
+        if self._disk and now >= self._identify_deadline:
+            self._identify_deadline = now + IDENTIFY_SECONDS
+            if self._is_blank or not self.is_voter:
+                self._broadcast_identity()
+        if self.is_voter and now >= self._election_deadline:
+            self._stand(now, is_pre_vote=True)
+
+    def propose(self, data: bytes) -> int:
+        """Append a command.
+
+        Args:
+            data: Encoded command.
+
+        Returns:
+            The index that it gets if it is committed in this term.
+
+        Raises:
+            NotLeaderError: If this replica does not lead.
+        """
+        if self._role is not Role.LEADER:
+            raise NotLeaderError(f"{self._vm} does not lead the log")
+        return self._append_own(EntryKind.COMMAND, data)
+
+    def synced(self, index: int, now: float) -> None:
+        """Note that the log up to `index` is on disk."""
+        self._synced = max(self._synced, min(index, self._log.last_index))
+        if self._role is Role.LEADER:
+            self._advance_commit(now)
+
+    def compact(self, index: int, data: bytes) -> Snapshot:
+        """Replace applied entries by a snapshot.
+
+        Args:
+            index: Applied entry whose state `data` holds.
+            data: Encoded state machine.
+
+        Returns:
+            The snapshot, for the driver to store.
+        """
+        term = self._log.term_at(index)
+        configuration = self._configuration_at(index)
+        snapshot = Snapshot(index, term, configuration, data)
+        self._log.compact(snapshot)
+        later = [c for c in self._configurations if c[0] > index]
+        self._configurations = [(index, configuration), *later]
+        return snapshot
+
+    def take_ready(self) -> Ready:
+        """Return what the driver has to do since the last call."""
+        if self._role is Role.LEADER:
+            self._send_new_entries()
+        ready, self._ready = self._ready, Ready()
+        if self._commit > self._applied:
+            first = self._applied + 1
+            count = self._commit - self._applied
+            ready.committed = list(self._log.entries(first, count))
+            self._applied = self._commit
+        return ready
+
+    def receive(self, sender: VmId, message, now: float) -> None:
+        """Take in a message from `sender`."""
+        match message:
+            case messages.Identify():
+                self._receive_identify(sender, message)
+            case messages.VoteRequest():
+                self._receive_vote_request(sender, message, now)
+            case messages.VoteReply():
+                self._receive_vote_reply(sender, message, now)
+            case messages.Append():
+                self._receive_append(sender, message, now)
+            case messages.InstallSnapshot():
+                self._receive_snapshot(sender, message, now)
+            case messages.AppendReply():
+                self._receive_append_reply(sender, message, now)
+
+    def _send(self, peer: VmId, message) -> None:
+        self._ready.messages.append((peer, message))
+
+    def _set_hard_state(self, term: int, voted_for: VmId | str) -> None:
+        state = HardState(term, voted_for)
+        if state != self._hard_state:
+            self._hard_state = state
+            self._ready.hard_state = state
+
+    def _reset_election(self, now: float) -> None:
+        wait = self._rng.uniform(ELECTION_SECONDS, 2 * ELECTION_SECONDS)
+        self._election_deadline = now + wait
+
+    def _quorum(self, times: dict[VmId, float], limit: float) -> bool:
+        voters = self.configuration.voters
+        count = sum(times.get(vm, float("-inf")) > limit for vm in voters)
+        return count > len(voters) // 2
+
+    def _confirmations(self) -> dict[VmId, float]:
+        times = {
+            vm: progress.confirmed_at
+            for vm, progress in self._progress.items()
+            if progress.disk == self.configuration.voters.get(vm)
+        }
+        if self.is_voter:
+            times[self._vm] = float("inf")
+        return times
+
+    def _note_configurations(self, entries: list[Entry]) -> None:
+        for entry in entries:
+            if entry.kind is EntryKind.CONFIGURATION:
+                configuration = _decode_configuration(entry.data)
+                self._configurations.append((entry.index, configuration))
+
+    def _configuration_at(self, index: int) -> Configuration:
+        return [c for i, c in self._configurations if i <= index][-1]
+
+    def _become_follower(
+        self, term: int, leader: VmId | None, now: float
+    ) -> None:
+        if term > self._hard_state.term:
+            self._set_hard_state(term, "")
+        if not self._is_blank:
+            self._role = Role.FOLLOWER
+        self._leader = leader
+        self._progress = {}
+        self._reset_election(now)
+
+    def _broadcast_identity(self) -> None:
+        identity = messages.Identify(self._disk, self._is_blank)
+        for peer in sorted(self._initial_voters - {self._vm}):
+            self._send(peer, identity)
+
+    def _receive_identify(
+        self, sender: VmId, message: messages.Identify
+    ) -> None:
+        progress = self._progress.get(sender)
+        if progress is not None:
+            progress.disk = message.disk
+        if not self._is_blank or sender not in self._initial_voters:
+            return
+        if not message.is_blank:
+            self._blank_disks.pop(sender, None)
+            return
+        self._blank_disks[sender] = message.disk
+        disks = {**self._blank_disks, self._vm: self._disk}
+        if self._vm in self._initial_voters and (
+            disks.keys() >= self._initial_voters
+        ):
+            self._form(disks)
+
+    def _form(self, disks: dict[VmId, str]) -> None:
+        """Begin a new log with every configured voter."""
+        voters = {vm: disks[vm] for vm in sorted(self._initial_voters)}
+        snapshot = Snapshot(0, 0, Configuration(voters), b"")
+        self._broadcast_identity()
+        self._is_blank = False
+        self._role = Role.FOLLOWER
+        self._log = ReplicaLog(snapshot)
+        self._configurations = [(0, snapshot.configuration)]
+        self._ready.snapshot = snapshot
+
+    def _stand(self, now: float, *, is_pre_vote: bool) -> None:
+        """Ask for votes, after asking whether there would be a majority."""
+        self._reset_election(now)
+        self._role = Role.PRE_CANDIDATE if is_pre_vote else Role.CANDIDATE
+        self._leader = None
+        self._votes = {self._vm}
+        if not is_pre_vote:
+            self._set_hard_state(self.term + 1, self._vm)
+        request = messages.VoteRequest(
+            self.term + is_pre_vote,
+            self._log.last_index,
+            self._log.last_term,
+            is_pre_vote,
+            self._disk,
+        )
+        for peer in sorted(self.configuration.voters.keys() - {self._vm}):
+            self._send(peer, request)
+        self._count_votes(now, is_pre_vote=is_pre_vote)
+
+    def _receive_vote_request(
+        self, sender: VmId, message: messages.VoteRequest, now: float
+    ) -> None:
+        heard_lately = now < self._leader_heard_at + ELECTION_SECONDS
+        if heard_lately or now < self._vote_deadline:
+            granted = False
+        elif self._role is Role.LEADER and self.is_confirmed(now):
+            granted = False
+        else:
+            granted = self._would_vote(sender, message)
+            if message.term > self.term and not message.is_pre_vote:
+                self._become_follower(message.term, None, now)
+        if message.is_pre_vote:
+            term = message.term if granted else self.term
+            self._send(
+                sender, messages.VoteReply(term, granted, True, self._disk)
+            )
+            return
+        if granted:
+            self._set_hard_state(self.term, sender)
+            self._reset_election(now)
+        self._send(
+            sender, messages.VoteReply(self.term, granted, False, self._disk)
+        )
+
+    def _would_vote(self, sender: VmId, message: messages.VoteRequest) -> bool:
+        voters = self.configuration.voters
+        if not self.is_voter or voters.get(sender) != message.disk:
+            return False
+        if message.term < self.term:
+            return False
+        if message.term == self.term and (
+            message.is_pre_vote
+            or self._hard_state.voted_for not in ("", sender)
+        ):
+            return False
+        mine = (self._log.last_term, self._log.last_index)
+        return (message.last_term, message.last_index) >= mine
+
+    def _receive_vote_reply(
+        self, sender: VmId, message: messages.VoteReply, now: float
+    ) -> None:
+        if self._role not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            return
+        if not message.granted:
+            if message.term > self.term:
+                self._become_follower(message.term, None, now)
+            return
+        if self.configuration.voters.get(sender) != message.disk:
+            return
+        # A pre-vote asks about the next term, a vote about the current one.
+        if message.term != self.term + message.is_pre_vote:
+            return
+        if message.is_pre_vote != (self._role is Role.PRE_CANDIDATE):
+            return
+        self._votes.add(sender)
+        self._count_votes(now, is_pre_vote=message.is_pre_vote)
+
+    def _count_votes(self, now: float, *, is_pre_vote: bool) -> None:
+        voters = self.configuration.voters
+        if len(self._votes & voters.keys()) <= len(voters) // 2:
+            return
+        if is_pre_vote:
+            self._stand(now, is_pre_vote=False)
+        else:
+            self._lead(now)
+
+    def _lead(self, now: float) -> None:
+        self._role = Role.LEADER
+        self._leader = self._vm
+        self._term_started_at = now
+        self._progress = {
+            peer: _Progress(self._log.last_index + 1) for peer in self._peers
+        }
+        self._append_own(EntryKind.NOOP, b"")
+
+    def _append_own(self, kind: EntryKind, data: bytes) -> int:
+        entry = Entry(self._log.last_index + 1, self.term, kind, data)
+        self._store([entry])
+        return entry.index
+
+    def _store(self, entries: list[Entry]) -> None:
+        first = entries[0].index
+        self._synced = min(self._synced, first - 1)
+        self._configurations = [c for c in self._configurations if c[0] < first]
+        self._log.append(entries)
+        self._note_configurations(entries)
+        pending = [e for e in self._ready.entries if e.index < first]
+        self._ready.entries = pending + entries
+
+    def _tick_leader(self, now: float) -> None:
+        limit = now - 2 * ELECTION_SECONDS
+        if now > self._term_started_at + 2 * ELECTION_SECONDS and not (
+            self._quorum(self._confirmations(), limit)
+        ):
+            self._become_follower(self.term, None, now)
+            return
+        for peer, progress in self._progress.items():
+            if now < progress.heartbeat_deadline:
+                continue
+            is_member = (
+                peer in self.configuration.voters
+                or peer in self.configuration.learners
+            )
+            progress.heartbeat_deadline = now + (
+                HEARTBEAT_SECONDS if is_member else OBSERVER_HEARTBEAT_SECONDS
+            )
+            self._send_append(peer, progress, now)
+        self._adjust_configuration(now)
+
+    def _send_new_entries(self) -> None:
+        for peer, progress in self._progress.items():
+            if progress.next_index <= self._log.last_index:
+                self._send_append(peer, progress, None)
+
+    def _send_append(
+        self, peer: VmId, progress: _Progress, now: float | None
+    ) -> None:
+        """Send what follows `next_index`.
+
+        Args:
+            peer: Receiver.
+            progress: Its progress, which moves on as if nothing were lost.
+            now: Time in seconds, or None to leave the leader's lease alone.
+        """
+        self._sequence += 1
+        if now is not None:
+            progress.sent[self._sequence] = now
+            if len(progress.sent) > 64:
+                del progress.sent[next(iter(progress.sent))]
+        previous = progress.next_index - 1
+        previous_term = self._log.term_at(previous)
+        if previous_term is None:
+            if now is None:
+                # Snapshots go out with heartbeats only, to bound repeats.
+                return
+            self._send(
+                peer,
+                messages.InstallSnapshot(
+                    self.term, self._sequence, self._log.snapshot
+                ),
+            )
+            return
+        entries = self._log.entries(progress.next_index, MAX_APPEND_ENTRIES)
+        progress.next_index += len(entries)
+        self._send(
+            peer,
+            messages.Append(
+                self.term,
+                previous,
+                previous_term,
+                self._commit,
+                self._sequence,
+                now is not None and self._may_confirm(now),
+                entries,
+            ),
+        )
+
+    def _may_confirm(self, now: float) -> bool:
+        """Tell whether `commit` is as far as any leader has committed."""
+        is_own_term = self._log.term_at(self._commit) == self.term
+        return is_own_term and self.is_confirmed(now)
+
+    def _accept_leader(self, sender: VmId, term: int, now: float) -> bool:
+        if term < self.term:
+            return False
+        if term > self.term or self._role is not Role.FOLLOWER:
+            self._become_follower(term, sender, now)
+        self._leader = sender
+        self._leader_heard_at = now
+        self._reset_election(now)
+        return True
+
+    def _receive_append(
+        self, sender: VmId, message: messages.Append, now: float
+    ) -> None:
+        if not self._accept_leader(sender, message.term, now):
+            self._reply(sender, message.sequence, False, 0)
+            return
+        previous = message.previous_index
+        if self._is_blank or (
+            previous > self._log.snapshot.index
+            and self._log.term_at(previous) != message.previous_term
+        ):
+            # -1 asks for a snapshot, which carries the configuration.
+            retry = -1 if self._is_blank else min(previous - 1, self._commit)
+            self._reply(sender, message.sequence, False, retry)
+            return
+        new = [e for e in message.entries if e.index > self._log.snapshot.index]
+        for position, entry in enumerate(new):
+            if self._log.term_at(entry.index) != entry.term:
+                self._store(new[position:])
+                break
+        match_index = previous + len(message.entries)
+        self._commit = max(self._commit, min(message.commit, match_index))
+        if message.is_confirmed:
+            self._confirmed_commit = message.commit
+        self._reply(sender, message.sequence, True, match_index)
+
+    def _receive_snapshot(
+        self, sender: VmId, message: messages.InstallSnapshot, now: float
+    ) -> None:
+        if not self._accept_leader(sender, message.term, now):
+            self._reply(sender, message.sequence, False, 0)
+            return
+        snapshot = message.snapshot
+        if self._is_blank or snapshot.index > self._commit:
+            self._is_blank = False
+            self._role = Role.FOLLOWER
+            self._log.compact(snapshot)
+            later = [c for c in self._configurations if c[0] > snapshot.index]
+            self._configurations = [
+                (snapshot.index, snapshot.configuration),
+                *later,
+            ]
+            self._commit = self._applied = snapshot.index
+            self._synced = self._log.last_index
+            self._ready.snapshot = snapshot
+            self._ready.restore = snapshot
+            self._ready.entries = []
+        self._reply(sender, message.sequence, True, snapshot.index)
+
+    def _reply(
+        self, leader: VmId, sequence: int, success: bool, index: int
+    ) -> None:
+        self._send(
+            leader,
+            messages.AppendReply(
+                self.term, success, index, sequence, self._disk
+            ),
+        )
+
+    def _receive_append_reply(
+        self, sender: VmId, message: messages.AppendReply, now: float
+    ) -> None:
+        if message.term > self.term:
+            self._become_follower(message.term, None, now)
+            return
+        progress = self._progress.get(sender)
+        if progress is None or message.term < self.term:
+            return
+        progress.disk = message.disk
+        sent_at = progress.sent.pop(message.sequence, None)
+        if sent_at is not None:
+            progress.confirmed_at = max(progress.confirmed_at, sent_at)
+        if message.success:
+            progress.match_index = max(progress.match_index, message.index)
+            progress.next_index = max(
+                progress.next_index, progress.match_index + 1
+            )
+            self._advance_commit(now)
+        else:
+            progress.next_index = message.index + 1
+            if message.index < progress.match_index:
+                # The disk has lost entries that it had acknowledged.
+                progress.match_index = message.index
+        if progress.match_index < self._log.last_index:
+            progress.heartbeat_deadline = min(
+                progress.heartbeat_deadline, now + HEARTBEAT_SECONDS
+            )
+
+    def _advance_commit(self, now: float) -> None:
+        voters = self.configuration.voters
+        matches = []
+        for vm, disk in voters.items():
+            if vm == self._vm:
+                matches.append(self._synced if self.is_voter else 0)
+                continue
+            progress = self._progress.get(vm)
+            if progress is not None and progress.disk == disk:
+                matches.append(progress.match_index)
+            else:
+                matches.append(0)
+        matches.sort(reverse=True)
+        candidate = matches[len(voters) // 2]
+        if candidate <= self._commit:
+            return
+        # Entries of earlier terms are committed by one of the own term.
+        if self._log.term_at(candidate) == self.term:
+            self._commit = candidate
+            for progress in self._progress.values():
+                progress.heartbeat_deadline = min(
+                    progress.heartbeat_deadline, now
+                )
+
+    def _adjust_configuration(self, now: float) -> None:
+        """Demote a voter whose disk is new; promote a learner caught up."""
+        index, configuration = self._configurations[-1]
+        if index > self._commit or not self._may_confirm(now):
+            return
+        voters = dict(configuration.voters)
+        learners = dict(configuration.learners)
+        for vm, progress in self._progress.items():
+            if not progress.disk:
+                continue
+            if vm in voters and voters[vm] != progress.disk:
+                del voters[vm]
+                learners[vm] = progress.disk
+                break
+            if vm not in learners:
+                continue
+            lag = self._log.last_index - progress.match_index
+            if learners[vm] != progress.disk:
+                learners[vm] = progress.disk
+                break
+            if progress.match_index and lag <= PROMOTION_LAG_ENTRIES:
+                voters[vm] = learners.pop(vm)
+                break
+        changed = Configuration(voters, learners)
+        if changed != configuration:
+            self._append_own(
+                EntryKind.CONFIGURATION, encode_configuration(changed)
+            )
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Encode `configuration` for an entry of the log."""
+    return cbor2.dumps(msgspec.to_builtins(configuration))
+
+
+def _decode_configuration(data: bytes) -> Configuration:
+    return msgspec.convert(cbor2.loads(data), Configuration)
--- /dev/null
+++ b/galenarill/consensus/tests/test_replica.py
@@ -0,0 +1,261 @@
+"""State machine test of the replicated log under lost messages and disks."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from galenarill.consensus import (
+    EntryKind,
+    HardState,
+    Replica,
+    Role,
+    Snapshot,
+)
+
+VOTERS = ("v1", "v2", "v3")
+OBSERVERS = ("o1",)
+VMS = VOTERS + OBSERVERS
+
+
+class Disk:
+    """What has been synced, in memory."""
+
+    def __init__(self, disk_id):
+        self.disk_id = disk_id
+        self.hard_state = HardState()
+        self.snapshot: Snapshot | None = None
+        self.entries = {}
+
+    def store(self, ready):
+        if ready.snapshot:
+            self.snapshot = ready.snapshot
+            self.entries = {
+                i: e for i, e in self.entries.items() if i > self.snapshot.index
+            }
+        if ready.hard_state:
+            self.hard_state = ready.hard_state
+        if ready.entries:
+            first = ready.entries[0].index
+            self.entries = {i: e for i, e in self.entries.items() if i < first}
+            self.entries.update((e.index, e) for e in ready.entries)
+
+
+class Node:
+    def __init__(self, vm, disk, seed, now):
+        self.vm = vm
+        self.disk = disk
+        base = disk.snapshot.index if disk.snapshot else 0
+        entries = [disk.entries[i] for i in sorted(disk.entries) if i > base]
+        self.replica = Replica(
+            vm,
+            frozenset(VMS) - {vm},
+            frozenset(VOTERS),
+            disk.disk_id,
+            random.Random(seed),
+            now,
+            hard_state=disk.hard_state,
+            snapshot=disk.snapshot,
+            entries=entries,
+        )
+        self.applied = list(
+            disk.snapshot.data.decode().split(",") if base else []
+        )
+
+
+class LogMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.network = []
+        self.cut = set()
+        self.disks = 0
+        self.proposed = 0
+        self.history = []
+        self.leaders = {}
+        self.nodes = {}
+        for vm in VMS:
+            self.boot(vm, self.new_disk(vm))
+        self.advance(4.0)
+
+    def new_disk(self, vm):
+        self.disks += 1
+        return Disk(f"d{self.disks}" if vm in VOTERS else "")
+
+    def boot(self, vm, disk):
+        self.nodes[vm] = Node(vm, disk, self.rng.random(), self.now)
+
+    def pump(self, vm, crash_at=None):
+        """Do what the driver does, and crash at a step if asked to."""
+        node = self.nodes[vm]
+        ready = node.replica.take_ready()
+        if crash_at == "before sync":
+            return self.restart(vm)
+        node.disk.store(ready)
+        if crash_at == "after sync":
+            return self.restart(vm)
+        node.replica.synced(node.replica.log.last_index, self.now)
+        for peer, message in ready.messages:
+            if vm not in self.cut and peer not in self.cut:
+                self.network.append((vm, peer, message))
+        if ready.restore:
+            text = ready.restore.data.decode()
+            node.applied = text.split(",") if text else []
+        for entry in ready.committed:
+            self.apply(node, entry)
+
+    def apply(self, node, entry):
+        if entry.kind is EntryKind.COMMAND:
+            value = entry.data.decode()
+        else:
+            value = f"{entry.kind.name}@{entry.index}"
+        node.applied.append(value)
+        position = len(node.applied) - 1
+        if position == len(self.history):
+            self.history.append(value)
+        assert self.history[position] == value, "committed entry differs"
+
+    def restart(self, vm):
+        # A replica without a disk keeps nothing.
+        disk = self.nodes[vm].disk if vm in VOTERS else Disk("")
+        self.boot(vm, disk)
+
+    def advance(self, seconds, loss=0.0):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.05
+            for vm in VMS:
+                self.nodes[vm].replica.tick(self.now)
+                self.pump(vm)
+            batch, self.network = self.network, []
+            for sender, receiver, message in batch:
+                if self.rng.random() < loss:
+                    continue
+                if receiver in self.cut or sender in self.cut:
+                    continue
+                self.nodes[receiver].replica.receive(sender, message, self.now)
+                self.pump(receiver)
+            self.note_leaders()
+
+    def note_leaders(self):
+        for vm, node in self.nodes.items():
+            if node.replica.role is Role.LEADER:
+                term = node.replica.term
+                assert self.leaders.setdefault(term, vm) == vm, "two leaders"
+        confirmed = [
+            vm
+            for vm, node in self.nodes.items()
+            if node.replica.is_confirmed(self.now)
+        ]
+        assert len(confirmed) <= 1, "two confirmed leaders"
+
+    def leader(self):
+        for node in self.nodes.values():
+            if node.replica.role is Role.LEADER:
+                return node
+        return None
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.0, 5.0]))
+    def wait(self, seconds):
+        self.advance(seconds)
+
+    @rule(seconds=st.sampled_from([0.5, 2.0]), loss=st.floats(0.05, 0.6))
+    def wait_lossy(self, seconds, loss):
+        self.advance(seconds, loss)
+
+    @rule(count=st.integers(1, 80))
+    def propose(self, count):
+        node = self.leader()
+        for _ in range(count if node else 0):
+            self.proposed += 1
+            node.replica.propose(f"c{self.proposed}".encode())
+
+    @rule(vm=st.sampled_from(VMS))
+    def cut_off(self, vm):
+        self.cut.add(vm)
+
+    @rule()
+    def heal(self):
+        self.cut.clear()
+
+    @rule(
+        vm=st.sampled_from(VMS),
+        step=st.sampled_from(["before sync", "after sync"]),
+    )
+    def crash(self, vm, step):
+        if self.network:
+            sender, receiver, message = self.network.pop(0)
+            self.nodes[receiver].replica.receive(sender, message, self.now)
+            self.pump(receiver, step)
+        self.pump(vm, step)
+
+    @rule()
+    def reorder_and_repeat(self):
+        self.network += self.network[:20]
+        self.rng.shuffle(self.network)
+
+    @rule(vm=st.sampled_from(VMS))
+    def compact(self, vm):
+        node = self.nodes[vm]
+        self.pump(vm)
+        index = node.replica.commit
+        if node.replica.role is Role.BLANK or not node.replica.log.term_at(
+            index
+        ):
+            return
+        snapshot = node.replica.compact(index, ",".join(node.applied).encode())
+        node.disk.snapshot = snapshot
+        node.disk.entries = {
+            i: e for i, e in node.disk.entries.items() if i > index
+        }
+
+    @rule(vm=st.sampled_from(VOTERS))
+    def lose_disk(self, vm):
+        """Lose one disk while the log can afford it."""
+        self.cut.clear()
+        self.advance(8.0)
+        voters = self.leader().replica.configuration.voters
+        healthy = [
+            v for v in VOTERS if voters.get(v) == self.nodes[v].disk.disk_id
+        ]
+        if len(healthy) == 3:
+            self.boot(vm, self.new_disk(vm))
+
+    @invariant()
+    def applied_agree(self):
+        for node in getattr(self, "nodes", {}).values():
+            known = self.history[: len(node.applied)]
+            assert node.applied == known, "state machines differ"
+
+    def teardown(self):
+        """After the faults, everything committed is everywhere."""
+        if not hasattr(self, "nodes"):
+            return
+        self.cut.clear()
+        self.advance(12.0)
+        node = self.leader()
+        assert node is not None, "no leader after the faults"
+        node.replica.propose(b"last")
+        self.advance(4.0)
+        for other in self.nodes.values():
+            assert other.applied == self.history, other.vm
+            assert other.replica.is_current() or (
+                other.replica.role is Role.LEADER
+            )
+        assert "last" in self.history
+
+
+TestLog = LogMachine.TestCase
+TestLog.settings = settings(
+    max_examples=40,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+)
--- /dev/null
+++ b/galenarill/scheduling/__init__.py
@@ -0,0 +1,10 @@
+"""Decisions on slots, limits, shares, retries and quarantine."""
+
+from galenarill.scheduling.lease import *  # noqa: F403
+from galenarill.scheduling.permits import *  # noqa: F403
+from galenarill.scheduling.policy import *  # noqa: F403
+from galenarill.scheduling.quarantine import *  # noqa: F403
+from galenarill.scheduling.retries import *  # noqa: F403
+from galenarill.scheduling.scheduler import *  # noqa: F403
+from galenarill.scheduling.servers import *  # noqa: F403
+from galenarill.scheduling.shares import *  # noqa: F403
--- /dev/null
+++ b/galenarill/scheduling/permits.py
@@ -0,0 +1,495 @@
+"""Permits and waiting requests of one entry VM."""
+
+import collections
+import dataclasses
+import enum
+import heapq
+from collections.abc import Iterable
+
+from galenarill.scheduling import messages
+from galenarill.world import (
+    AttemptId,
+    AvailabilityZoneId,
+    PermitId,
+    PoolId,
+    RequestId,
+    TeamId,
+    VmId,
+)
+
+__all__ = [
+    "PermitHolder",
+    "PermitState",
+    "HeldPermitRecord",
+    "Start",
+    "Expired",
+    "SESSION_SECONDS",
+    "SESSION_MARGIN_SECONDS",
+]
+
+# A holder may start requests for this long after the heartbeat that the
+# scheduler has answered.
+SESSION_SECONDS = 2.0
+# Allowance for clocks that run at different rates.
+SESSION_MARGIN_SECONDS = 0.25
+# Time for which a contended permit may be used again without asking.
+QUANTUM_SECONDS = 0.25
+# Time for which an idle permit is kept while nobody else waits.
+LINGER_SECONDS = 1.0
+# Wait after which the schedulers of other zones are asked as well.
+SPILL_SECONDS = 0.03
+
+
+class PermitState(enum.Enum):
+    """What a permit is being used for."""
+
+    IDLE = enum.auto()
+    BUSY = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class HeldPermitRecord:
+    """A permit that this entry VM holds.
+
+    Attributes:
+        permit: The permit.
+        availability_zone: Zone whose scheduler gave it.
+        state: What it is being used for.
+        contended: Whether others wait for it.
+        recalled: Whether it takes no further request.
+        quantum_deadline: Time from which a contended permit goes back.
+        linger_deadline: Time from which an idle permit goes back.
+        attempts: Requests started on it.
+        requests: Requests that ran on it to an answer.
+        failures: Requests that failed on it.
+    """
+
+    permit: messages.Permit
+    availability_zone: AvailabilityZoneId
+    state: PermitState
+    contended: bool
+    quantum_deadline: float
+    recalled: bool = False
+    linger_deadline: float = 0.0
+    attempts: int = 0
+    requests: int = 0
+    failures: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """A request may start.
+
+    Attributes:
+        request: The request.
+        permit: The permit to run it on.
+        attempt: Id that the backend server reports while it runs.
+    """
+
+    request: RequestId
+    permit: messages.Permit
+    attempt: AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expired:
+    """A request waited until its deadline and has not run.
+
+    Attributes:
+        request: The request.
+    """
+
+    request: RequestId
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    request: RequestId
+    deadline: float
+    spill_deadline: float
+    excluded: frozenset[VmId]
+
+
+@dataclasses.dataclass(slots=True)
+class _Session:
+    epoch: str = ""
+    opening: int = 0
+    usable_until: float = 0.0
+    sequence: int = 0
+    sent: dict[int, float] = dataclasses.field(default_factory=dict)
+    seen: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    reported: dict[tuple[PoolId, TeamId], tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class PermitHolder:
+    """Requests that wait at one entry VM, and the permits it may run them on.
+
+    The holder tells the scheduler of its own zone how many requests of each
+    team wait, and the schedulers of the other zones once the oldest has waited
+    `SPILL_SECONDS`. A permit serves one request after another without a
+    message. It goes back when it has been idle for `LINGER_SECONDS`, or, while
+    others wait, when it is idle or its quantum has passed.
+
+    Each call returns nothing but changes what `take_starts`, `take_expired`
+    and `take_messages` give out next.
+    """
+
+    def __init__(self, availability_zone: AvailabilityZoneId):
+        """Make a holder in `availability_zone` without permits."""
+        self._availability_zone = availability_zone
+        self._waiting: dict[
+            tuple[PoolId, TeamId], collections.OrderedDict[RequestId, _Waiter]
+        ] = {}
+        self._pair_of: dict[RequestId, tuple[PoolId, TeamId]] = {}
+        self._deadlines: list[tuple[float, RequestId]] = []
+        self._permits: dict[PermitId, HeldPermitRecord] = {}
+        self._idle: dict[
+            tuple[PoolId, TeamId], dict[PermitId, HeldPermitRecord]
+        ] = collections.defaultdict(dict)
+        self._sessions: dict[AvailabilityZoneId, _Session] = {}
+        self._changed: set[tuple[PoolId, TeamId]] = set()
+        self._returned: dict[
+            AvailabilityZoneId, list[messages.ReturnedPermit]
+        ] = collections.defaultdict(list)
+        self._starts: list[Start] = []
+        self._expired: list[Expired] = []
+
+    @property
+    def permits(self) -> dict[PermitId, HeldPermitRecord]:
+        """Permits held, by id."""
+        return self._permits
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait."""
+        return len(self._pair_of)
+
+    def waiting_for(self, pool: PoolId) -> int:
+        """Return the number of requests that wait for `pool`."""
+        return sum(
+            len(queue) for (p, _), queue in self._waiting.items() if p == pool
+        )
+
+    def is_session_valid(
+        self, availability_zone: AvailabilityZoneId, now: float
+    ) -> bool:
+        """Tell whether permits of `availability_zone` may start requests."""
+        session = self._sessions.get(availability_zone)
+        return session is not None and now < session.usable_until
+
+    def submit(
+        self,
+        request: RequestId,
+        pool: PoolId,
+        team: TeamId,
+        deadline: float,
+        now: float,
+        excluded: frozenset[VmId] = frozenset(),
+    ) -> None:
+        """Let `request` wait for a slot, or start it on an idle permit.
+
+        Args:
+            request: Id that is not waiting.
+            pool: Pool whose backend servers can run it.
+            team: Team that it runs for.
+            deadline: Time until which it may start.
+            now: Time in seconds.
+            excluded: Backend servers on which it has failed.
+        """
+        pair = (pool, team)
+        waiter = _Waiter(request, deadline, now + SPILL_SECONDS, excluded)
+        queue = self._waiting.setdefault(pair, collections.OrderedDict())
+        queue[request] = waiter
+        self._pair_of[request] = pair
+        heapq.heappush(self._deadlines, (deadline, request))
+        self._changed.add(pair)
+        for record in reversed(list(self._idle[pair].values())):
+            if self._serve(record, now):
+                return
+
+    def cancel(self, request: RequestId) -> bool:
+        """Take a request out of the queue.
+
+        Returns:
+            Whether it was waiting.
+        """
+        pair = self._pair_of.pop(request, None)
+        if pair is None:
+            return False
+        queue = self._waiting[pair]
+        del queue[request]
+        if not queue:
+            del self._waiting[pair]
+        self._changed.add(pair)
+        return True
+
+    def finish(
+        self,
+        permit_id: PermitId,
+        now: float,
+        *,
+        failed: bool = False,
+        running: AttemptId | None = None,
+    ) -> None:
+        """End the request on `permit_id`.
+
+        Args:
+            permit_id: Permit that the request ran on.
+            now: Time in seconds.
+            failed: Whether the backend server failed the request.
+            running: Attempt that may still run on the backend server.
+        """
+        record = self._permits[permit_id]
+        record.state = PermitState.IDLE
+        if failed:
+            record.failures += 1
+        else:
+            record.requests += 1
+        if failed or running is not None:
+            self._give_back(record, (running,) if running else ())
+            return
+        self._settle(record, now)
+
+    def add_permits(self, message: messages.Granted, now: float) -> None:
+        """Take in permits, unless they come from an earlier scheduler."""
+        session = self._sessions.get(message.availability_zone)
+        if session is None or session.epoch != message.epoch:
+            return
+        if session.opening:
+            # Sent before the scheduler saw which permits are held here, so the
+            # scheduler no longer counts them as held.
+            return
+        for permit in message.permits:
+            pair = (permit.pool, permit.team)
+            session.seen[pair] += 1
+            self._changed.add(pair)
+            record = HeldPermitRecord(
+                permit=permit,
+                availability_zone=message.availability_zone,
+                state=PermitState.IDLE,
+                contended=permit.contended,
+                quantum_deadline=now + QUANTUM_SECONDS,
+            )
+            self._permits[permit.permit_id] = record
+            self._settle(record, now)
+
+    def recall(self, message: messages.Recall, now: float) -> None:
+        """Mark permits that others wait for, and give back the idle ones."""
+        session = self._sessions.get(message.availability_zone)
+        if session is None or session.epoch != message.epoch:
+            return
+        for record in list(self._permits.values()):
+            if not _matches(record, message):
+                continue
+            record.contended = True
+            record.recalled = record.recalled or message.hard
+            if record.state is PermitState.IDLE:
+                self._settle(record, now)
+
+    def next_register(
+        self,
+        availability_zone: AvailabilityZoneId,
+        epoch: str,
+        now: float,
+        *,
+        fresh: bool = False,
+    ) -> messages.Register:
+        """Return the message that opens or renews a session.
+
+        Args:
+            availability_zone: Zone whose scheduler is addressed.
+            epoch: Epoch of that scheduler.
+            now: Time in seconds.
+            fresh: Whether an earlier process of this VM may have left
+                attempts behind.
+
+        Returns:
+            The message, with the permits held if the scheduler is a new one.
+        """
+        session = self._sessions.setdefault(availability_zone, _Session())
+        session.sequence += 1
+        session.sent[session.sequence] = now
+        for old in [s for s in session.sent if s <= session.sequence - 16]:
+            del session.sent[old]
+        if session.epoch == epoch:
+            return messages.Register(availability_zone, epoch, session.sequence)
+        session.epoch = epoch
+        session.opening = session.sequence
+        session.seen.clear()
+        session.reported.clear()
+        self._changed.update(self._waiting)
+        self._returned.pop(availability_zone, None)
+        held = tuple(
+            messages.HeldPermit(
+                record.permit.permit_id,
+                record.permit.server,
+                record.permit.incarnation,
+                record.permit.team,
+                record.permit.pool,
+            )
+            for record in self._permits.values()
+            if record.availability_zone == availability_zone
+        )
+        return messages.Register(
+            availability_zone, "", session.sequence, held, fresh
+        )
+
+    def registered(self, message: messages.Registered, now: float) -> None:
+        """Extend the session that the scheduler has confirmed."""
+        session = self._sessions.get(message.availability_zone)
+        if session is None:
+            return
+        if session.epoch != message.epoch:
+            if not message.epoch:
+                session.epoch = ""
+            return
+        if session.opening == message.sequence:
+            session.opening = 0
+        sent_at = session.sent.pop(message.sequence, None)
+        if sent_at is None:
+            return
+        until = sent_at + SESSION_SECONDS - SESSION_MARGIN_SECONDS
+        session.usable_until = max(session.usable_until, until)
+        for permit_id in message.dropped:
+            record = self._permits.get(permit_id)
+            if record is None:
+                continue
+            record.recalled = True
+            if record.state is PermitState.IDLE:
+                self._give_back(record, ())
+        for pair in list(self._waiting):
+            for record in list(self._idle[pair].values()):
+                self._serve(record, now)
+
+    def forget_session(self, availability_zone: AvailabilityZoneId) -> None:
+        """Register anew with the zone's scheduler at the next occasion."""
+        session = self._sessions.get(availability_zone)
+        if session is not None:
+            session.epoch = ""
+
+    def tick(self, now: float) -> None:
+        """Expire waiting requests and give back permits that linger."""
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request = heapq.heappop(self._deadlines)
+            if self.cancel(request):
+                self._expired.append(Expired(request))
+        for pair, queue in self._waiting.items():
+            if next(iter(queue.values())).spill_deadline <= now:
+                self._changed.add(pair)
+        for idle in self._idle.values():
+            for record in list(idle.values()):
+                if record.linger_deadline <= now:
+                    self._give_back(record, ())
+
+    def take_starts(self) -> list[Start]:
+        """Return the requests that may start since the last call."""
+        starts, self._starts = self._starts, []
+        return starts
+
+    def take_expired(self) -> list[Expired]:
+        """Return the requests whose deadline passed since the last call."""
+        expired, self._expired = self._expired, []
+        return expired
+
+    def take_messages(
+        self, now: float
+    ) -> list[tuple[AvailabilityZoneId, messages.Demand | messages.Returned]]:
+        """Return the messages for the schedulers since the last call."""
+        out = []
+        for zone, permits in self._returned.items():
+            session = self._sessions[zone]
+            out.append(
+                (zone, messages.Returned(zone, session.epoch, tuple(permits)))
+            )
+        self._returned.clear()
+        if not self._changed:
+            return out
+        for zone, session in self._sessions.items():
+            if not session.epoch or session.opening:
+                continue
+            lines = tuple(self._demand_lines(zone, session, now))
+            if lines:
+                out.append((zone, messages.Demand(zone, session.epoch, lines)))
+        if not any(session.opening for session in self._sessions.values()):
+            self._changed.clear()
+        return out
+
+    def _demand_lines(
+        self, zone: AvailabilityZoneId, session: _Session, now: float
+    ) -> Iterable[messages.DemandLine]:
+        for pool, team in self._changed:
+            queue = self._waiting.get((pool, team), {})
+            if zone != self._availability_zone and queue:
+                oldest = next(iter(queue.values()))
+                if oldest.spill_deadline > now:
+                    queue = {}
+            line = (len(queue), session.seen[pool, team])
+            if line == session.reported.get((pool, team), (0, 0)):
+                continue
+            session.reported[pool, team] = line
+            yield messages.DemandLine(pool, team, *line)
+
+    def _settle(self, record: HeldPermitRecord, now: float) -> None:
+        """Use an idle permit again, keep it, or give it back."""
+        if record.recalled or (
+            record.contended and record.quantum_deadline <= now
+        ):
+            self._give_back(record, ())
+            return
+        if self._serve(record, now):
+            return
+        if record.contended:
+            self._give_back(record, ())
+            return
+        pair = (record.permit.pool, record.permit.team)
+        record.linger_deadline = now + LINGER_SECONDS
+        self._idle[pair][record.permit.permit_id] = record
+
+    def _serve(self, record: HeldPermitRecord, now: float) -> bool:
+        """Start the first request that may run on `record`, if there is one."""
+        if record.recalled or not self.is_session_valid(
+            record.availability_zone, now
+        ):
+            return False
+        permit = record.permit
+        pair = (permit.pool, permit.team)
+        for waiter in self._waiting.get(pair, {}).values():
+            if permit.server not in waiter.excluded:
+                break
+        else:
+            return False
+        self.cancel(waiter.request)
+        self._idle[pair].pop(permit.permit_id, None)
+        record.state = PermitState.BUSY
+        record.attempts += 1
+        attempt = AttemptId(
+            f"{permit.permit_id}.{record.attempts}~{permit.team}"
+        )
+        self._starts.append(Start(waiter.request, permit, attempt))
+        return True
+
+    def _give_back(
+        self, record: HeldPermitRecord, running: tuple[AttemptId, ...]
+    ) -> None:
+        permit = record.permit
+        del self._permits[permit.permit_id]
+        self._idle[permit.pool, permit.team].pop(permit.permit_id, None)
+        self._returned[record.availability_zone].append(
+            messages.ReturnedPermit(
+                permit.permit_id, record.requests, record.failures, running
+            )
+        )
+
+
+def _matches(record: HeldPermitRecord, recall: messages.Recall) -> bool:
+    permit = record.permit
+    return (
+        record.availability_zone == recall.availability_zone
+        and recall.pool in ("", permit.pool)
+        and recall.team in ("", permit.team)
+        and recall.server in ("", permit.server)
+    )
--- /dev/null
+++ b/galenarill/scheduling/quarantine.py
@@ -0,0 +1,111 @@
+"""Quarantine of backend servers that fail what their peers complete."""
+
+import dataclasses
+import statistics
+
+from galenarill.world import VmId
+
+__all__ = ["FailureComparison"]
+
+# Time in which the weight of an outcome falls to one half.
+HALF_LIFE_SECONDS = 10.0
+# Weighted outcomes below which a backend server is not judged.
+MIN_OUTCOMES = 5.0
+# Failure ratio from which a backend server is suspect.
+SUSPECT_RATIO = 0.5
+# A suspect is spared while its peers fail at least this part of its ratio.
+PEER_FRACTION = 0.5
+# Time after which a quarantined backend server is tried again.
+QUARANTINE_SECONDS = 15.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Outcomes:
+    requests: float = 0.0
+    failures: float = 0.0
+    updated_at: float = 0.0
+    quarantine_deadline: float = 0.0
+
+    def decay(self, now: float) -> None:
+        factor = 0.5 ** ((now - self.updated_at) / HALF_LIFE_SECONDS)
+        self.requests *= factor
+        self.failures *= factor
+        self.updated_at = now
+
+    @property
+    def total(self) -> float:
+        return self.requests + self.failures
+
+    @property
+    def ratio(self) -> float:
+        return self.failures / self.total if self.total else 0.0
+
+
+class FailureComparison:
+    """Failure ratios of the backend servers of one pool.
+
+    A backend server is quarantined when it fails at least half of its
+    requests while the median of its peers fails less than half as often. When
+    all of them fail alike, the requests are to blame and nobody is quarantined.
+
+    Example:
+        >>> comparison = FailureComparison()
+        >>> for vm in ("vm-1", "vm-2"):
+        ...     comparison.record(vm, requests=20, failures=0, now=0.0)
+        >>> comparison.record("vm-3", requests=0, failures=8, now=0.0)
+        True
+        >>> comparison.is_quarantined("vm-3", now=1.0)
+        True
+    """
+
+    def __init__(self):
+        """Make a comparison without backend servers."""
+        self._outcomes: dict[VmId, _Outcomes] = {}
+
+    def record(
+        self, server: VmId, requests: int, failures: int, now: float
+    ) -> bool | None:
+        """Count outcomes of `server`.
+
+        Args:
+            server: Backend server.
+            requests: Requests that ran to an answer.
+            failures: Requests that it failed.
+            now: Time in seconds.
+
+        Returns:
+            True if this puts `server` into quarantine, otherwise None.
+        """
+        outcomes = self._outcomes.setdefault(server, _Outcomes(updated_at=now))
+        outcomes.decay(now)
+        outcomes.requests += requests
+        outcomes.failures += failures
+        if not failures or outcomes.quarantine_deadline > now:
+            return None
+        if not self._is_worse_than_peers(server, now):
+            return None
+        outcomes.quarantine_deadline = now + QUARANTINE_SECONDS
+        outcomes.requests = outcomes.failures = 0.0
+        return True
+
+    def is_quarantined(self, server: VmId, now: float) -> bool:
+        """Tell whether `server` is to get no work."""
+        outcomes = self._outcomes.get(server)
+        return outcomes is not None and now < outcomes.quarantine_deadline
+
+    def remove(self, server: VmId) -> None:
+        """Drop `server`, as when it restarts or leaves."""
+        self._outcomes.pop(server, None)
+
+    def _is_worse_than_peers(self, server: VmId, now: float) -> bool:
+        own = self._outcomes[server]
+        if own.total < MIN_OUTCOMES or own.ratio < SUSPECT_RATIO:
+            return False
+        peers = []
+        for vm, outcomes in self._outcomes.items():
+            outcomes.decay(now)
+            if vm != server and outcomes.total >= 1.0:
+                peers.append(outcomes.ratio)
+        if not peers:
+            return False
+        return statistics.median(peers) < PEER_FRACTION * own.ratio
--- /dev/null
+++ b/galenarill/scheduling/scheduler.py
@@ -0,0 +1,744 @@
+"""Scheduler of one availability zone."""
+
+import collections
+import dataclasses
+import enum
+
+from galenarill.scheduling import messages
+from galenarill.scheduling.permits import (
+    SESSION_MARGIN_SECONDS,
+    SESSION_SECONDS,
+)
+from galenarill.scheduling.policy import SchedulingPolicy
+from galenarill.scheduling.quarantine import FailureComparison
+from galenarill.scheduling.servers import (
+    BackendServer,
+    Orphan,
+    permit_of,
+    team_of,
+)
+from galenarill.scheduling.shares import ShareAccount
+from galenarill.world import (
+    AttemptId,
+    AvailabilityZoneId,
+    PermitId,
+    PoolId,
+    TeamId,
+    VmId,
+)
+
+__all__ = ["ZoneScheduler", "Decision", "DecisionKind"]
+
+# Time for which a returned permit is remembered, so that a report made before
+# its return does not count its attempts as running.
+CLOSED_SECONDS = 10.0
+# Reports without an orphan's attempts that prove its end: the first may have
+# been made before the attempt began, the second follows the reply to the first.
+ORPHAN_REPORTS = 2
+
+
+class DecisionKind(enum.Enum):
+    """What a scheduler has decided."""
+
+    GRANT = "grant"
+    ORPHAN = "orphan"
+    ORPHAN_ENDED = "orphan-ended"
+    QUARANTINE = "quarantine"
+    RESTART = "restart"
+    DEPART = "depart"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """One decision, for the log.
+
+    Attributes:
+        kind: What was decided.
+        server: Backend server.
+        team: Team, or "".
+        permit: Permit, or "".
+        reason: Why.
+    """
+
+    kind: DecisionKind
+    server: VmId
+    team: TeamId | str
+    permit: PermitId | str
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Grant:
+    holder: VmId
+    server: VmId
+    team: TeamId
+    pool: PoolId
+    since: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Holder:
+    session_deadline: float
+    waiting: dict[tuple[PoolId, TeamId], int] = dataclasses.field(
+        default_factory=dict
+    )
+    granted: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    permits: set[PermitId] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class _Pool:
+    account: ShareAccount = dataclasses.field(default_factory=ShareAccount)
+    failures: FailureComparison = dataclasses.field(
+        default_factory=FailureComparison
+    )
+    servers: dict[VmId, BackendServer] = dataclasses.field(default_factory=dict)
+    # Holders of waiting requests by team; the first of them is served next.
+    waiting: dict[TeamId, collections.OrderedDict[VmId, int]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    is_contended: bool = False
+
+
+class ZoneScheduler:
+    """Hands out every slot of one zone's backend servers.
+
+    A permit counts against its backend server's slots and its team's allotment
+    from the moment it is granted until the holder returns it, or, when the
+    holder's session has ended, until the backend server's reports prove that
+    no attempt of it runs. So neither slots nor allotments are exceeded when
+    holders, links or schedulers fail.
+
+    The scheduler has no clock and no I/O. The caller feeds in messages and
+    takes out messages and decisions. A grant costs one comparison for each
+    team that waits for the pool and each backend server of the pool.
+    """
+
+    def __init__(
+        self,
+        availability_zone: AvailabilityZoneId,
+        epoch: str,
+        members: frozenset[VmId],
+        policy: SchedulingPolicy,
+        now: float,
+    ):
+        """Make a scheduler that has just got the zone's lease.
+
+        Args:
+            availability_zone: Zone.
+            epoch: Name that no earlier scheduler of the zone has had.
+            members: Every entry VM that may hold permits.
+            policy: Limits, shares and pool membership.
+            now: Time in seconds.
+        """
+        self._availability_zone = availability_zone
+        self._epoch = epoch
+        self._policy = policy
+        self._unregistered = set(members)
+        # From here on, no holder of an earlier scheduler can start anything
+        # without having registered.
+        self._fenced_at = now + SESSION_SECONDS + SESSION_MARGIN_SECONDS
+        self._holders: dict[VmId, _Holder] = {}
+        self._servers: dict[VmId, BackendServer] = {}
+        self._pools: dict[PoolId, _Pool] = collections.defaultdict(_Pool)
+        self._permits: dict[PermitId, _Grant] = {}
+        self._running: collections.Counter[TeamId] = collections.Counter()
+        self._blocked_teams: set[TeamId] = set()
+        self._closed: collections.OrderedDict[PermitId, float] = (
+            collections.OrderedDict()
+        )
+        self._next_permit = 0
+        self._dirty: set[PoolId] = set()
+        self._outbox: dict[VmId, list] = collections.defaultdict(list)
+        self._decisions: list[Decision] = []
+
+    @property
+    def epoch(self) -> str:
+        """Epoch of this scheduler."""
+        return self._epoch
+
+    @property
+    def servers(self) -> dict[VmId, BackendServer]:
+        """Backend servers known, by VM."""
+        return self._servers
+
+    def running(self, team: TeamId) -> int:
+        """Return how many slots count for `team`."""
+        return self._running[team]
+
+    def used_by_server(self, server: VmId) -> int:
+        """Return the slots of `server` that are or may be in use."""
+        known = self._servers.get(server)
+        return known.used if known else 0
+
+    def register(
+        self, holder: VmId, message: messages.Register, now: float
+    ) -> None:
+        """Open or renew the session of `holder`."""
+        known = self._holders.get(holder)
+        dropped: tuple[PermitId, ...] = ()
+        if message.epoch != self._epoch:
+            dropped = self._adopt(holder, message, now)
+        elif known is None:
+            # The session has ended here; the holder has to report its permits.
+            self._send(
+                holder,
+                messages.Registered(
+                    self._availability_zone, "", message.sequence
+                ),
+            )
+            return
+        session = self._holders[holder]
+        session.session_deadline = (
+            now + SESSION_SECONDS + SESSION_MARGIN_SECONDS
+        )
+        self._send(
+            holder,
+            messages.Registered(
+                self._availability_zone,
+                self._epoch,
+                message.sequence,
+                dropped,
+            ),
+        )
+
+    def demand(
+        self, holder: VmId, message: messages.Demand, now: float
+    ) -> None:
+        """Take in how many requests wait at `holder`."""
+        session = self._holders.get(holder)
+        if session is None or message.epoch != self._epoch:
+            return
+        for line in message.lines:
+            pair = (line.pool, line.team)
+            on_the_way = session.granted[pair] - line.seen
+            waiting = max(0, line.waiting - on_the_way)
+            self._set_waiting(holder, session, pair, waiting)
+            self._dirty.add(line.pool)
+
+    def returned(
+        self, holder: VmId, message: messages.Returned, now: float
+    ) -> None:
+        """Take back permits of `holder`."""
+        if message.epoch != self._epoch:
+            return
+        for line in message.permits:
+            grant = self._permits.get(line.permit_id)
+            if grant is None or grant.holder != holder:
+                continue
+            self._record_outcomes(grant, line, now)
+            if line.running:
+                self._orphan(line.permit_id, now, "holder gave up the attempt")
+            else:
+                self._release(line.permit_id, now)
+
+    def report(
+        self, message: messages.ServerReport, now: float
+    ) -> messages.ServerReportReply:
+        """Take in a backend server's announcement.
+
+        Args:
+            message: The announcement.
+            now: Time in seconds.
+
+        Returns:
+            Whether it may get work, and the attempts that it may stop.
+        """
+        refusal = self._policy.refusal(message.server, message.pool)
+        server = self._servers.get(message.server)
+        if server is None:
+            server = self._new_server(message, now)
+        elif server.incarnation != message.incarnation:
+            self._restart(server, message.incarnation)
+        elif message.sequence <= server.sequence:
+            return messages.ServerReportReply(message.call, True, "repeated")
+        self._move_pool(server, message.pool)
+        if message.leaving and not server.is_leaving:
+            self._depart(server, "announced its departure")
+        server.update(message, now)
+        if message.sequence == 1:
+            # Nothing can have been sent to it before its first announcement.
+            server.known_reports = ORPHAN_REPORTS
+        elif self._is_ready(now):
+            server.known_reports += 1
+        self._compare_running(server, message.running, now)
+        self._dirty.add(server.pool)
+        return messages.ServerReportReply(
+            message.call,
+            not refusal,
+            refusal,
+            tuple(a for a in message.running if permit_of(a) in server.orphans),
+        )
+
+    def confirm_stopped(self, vm: VmId, now: float) -> None:
+        """End what has no holder on `vm`, which is proved to have stopped."""
+        server = self._servers.get(vm)
+        if server is None:
+            return
+        self._depart(server, "confirmed stopped")
+        for permit_id, orphan in list(server.orphans.items()):
+            if orphan.fenced_at <= now:
+                self._end_orphan(server, permit_id, now, "confirmed stopped")
+
+    def policy_changed(self, now: float) -> None:
+        """Apply limits, shares and pool membership that have changed."""
+        for team in [t for t, n in self._running.items() if n]:
+            if self._running[team] > self._policy.allotment(team):
+                self._recall_all(team=team, hard=True)
+        for server in self._servers.values():
+            if self._policy.refusal(server.vm, server.pool):
+                self._depart(server, "may no longer serve its pool")
+        for pool in self._pools.values():
+            for team in pool.waiting:
+                pool.account.set_weight(team, self._policy.weight(team))
+        self._dirty.update(self._pools)
+
+    def tick(self, now: float) -> None:
+        """End sessions and leases whose deadlines have passed."""
+        for vm, session in list(self._holders.items()):
+            if session.session_deadline <= now:
+                self._end_session(vm, session, now)
+        for server in self._servers.values():
+            if server.lease_deadline <= now and not server.is_leaving:
+                self._depart(server, "did not renew its lease")
+        while self._closed:
+            permit_id, closed_at = next(iter(self._closed.items()))
+            if closed_at + CLOSED_SECONDS > now:
+                break
+            del self._closed[permit_id]
+        self._dirty.update(
+            pool_id for pool_id, pool in self._pools.items() if pool.waiting
+        )
+
+    def allocate(self, now: float) -> None:
+        """Grant free slots of every pool where something has changed."""
+        if not self._is_ready(now):
+            return
+        dirty, self._dirty = self._dirty, set()
+        for pool_id in dirty:
+            self._allocate_pool(pool_id, self._pools[pool_id], now)
+
+    def take_messages(self) -> dict[VmId, list]:
+        """Return the messages for each holder since the last call."""
+        outbox, self._outbox = self._outbox, collections.defaultdict(list)
+        return outbox
+
+    def take_decisions(self) -> list[Decision]:
+        """Return the decisions since the last call."""
+        decisions, self._decisions = self._decisions, []
+        return decisions
+
+    def _is_ready(self, now: float) -> bool:
+        return not self._unregistered or now >= self._fenced_at
+
+    def _send(self, holder: VmId, message) -> None:
+        self._outbox[holder].append(message)
+
+    def _decide(
+        self,
+        kind: DecisionKind,
+        server: VmId,
+        reason: str,
+        team: TeamId | str = "",
+        permit: PermitId | str = "",
+    ) -> None:
+        self._decisions.append(Decision(kind, server, team, permit, reason))
+
+    def _adopt(
+        self, holder: VmId, message: messages.Register, now: float
+    ) -> tuple[PermitId, ...]:
+        """Take over what `holder` says that it holds.
+
+        Returns:
+            The permits that it must not use.
+        """
+        session = self._holders.get(holder)
+        if session is not None:
+            self._clear_waiting(holder, session)
+            reported = {held.permit_id for held in message.held}
+            for permit_id in list(session.permits - reported):
+                self._orphan(permit_id, now, "holder no longer has it")
+        self._holders[holder] = session = _Holder(0.0)
+        if not message.fresh:
+            self._unregistered.discard(holder)
+        dropped = []
+        for held in message.held:
+            if self._adopt_permit(holder, session, held, now):
+                # Contention has to be made known to the new holder again.
+                self._pools[held.pool].is_contended = False
+            else:
+                dropped.append(held.permit_id)
+        return tuple(dropped)
+
+    def _adopt_permit(
+        self,
+        holder: VmId,
+        session: _Holder,
+        held: messages.HeldPermit,
+        now: float,
+    ) -> bool:
+        permit_id = held.permit_id
+        if permit_id in self._permits:
+            session.permits.add(permit_id)
+            return True
+        if permit_id in self._closed:
+            return False
+        server = self._servers.get(held.server)
+        if server is None:
+            server = BackendServer(
+                held.server, held.pool, "", held.incarnation, 0, 0, 0.0
+            )
+            self._servers[held.server] = server
+            self._pools[held.pool].servers[held.server] = server
+        if permit_id in server.orphans:
+            self._drop_orphan(server, permit_id)
+        grant = _Grant(holder, held.server, held.team, held.pool, now)
+        self._count(permit_id, grant)
+        session.permits.add(permit_id)
+        return True
+
+    def _new_server(
+        self, message: messages.ServerReport, now: float
+    ) -> BackendServer:
+        server = BackendServer(
+            message.server,
+            message.pool,
+            message.address,
+            message.incarnation,
+            message.sequence,
+            0,
+            now,
+        )
+        self._servers[message.server] = server
+        self._pools[message.pool].servers[message.server] = server
+        return server
+
+    def _move_pool(self, server: BackendServer, pool: PoolId) -> None:
+        if server.pool == pool:
+            return
+        self._pools[server.pool].servers.pop(server.vm, None)
+        self._pools[pool].servers[server.vm] = server
+
+    def _restart(self, server: BackendServer, incarnation: str) -> None:
+        """Ask for the permits of an earlier incarnation of `server`.
+
+        They stay counted until they are returned, because a holder may still
+        start a request on one, which then reaches the new incarnation.
+        """
+        self._decide(
+            DecisionKind.RESTART, server.vm, f"{server.used} permits out"
+        )
+        server.incarnation = incarnation
+        server.sequence = 0
+        self._pools[server.pool].failures.remove(server.vm)
+        self._recall_server(server)
+
+    def _depart(self, server: BackendServer, reason: str) -> None:
+        if server.permits or not server.is_leaving:
+            self._decide(DecisionKind.DEPART, server.vm, reason)
+        server.is_leaving = True
+        self._recall_server(server)
+
+    def _recall_server(self, server: BackendServer) -> None:
+        holders = {self._permits[p].holder for p in server.permits}
+        for holder in holders:
+            self._send(
+                holder,
+                messages.Recall(
+                    self._availability_zone,
+                    self._epoch,
+                    server=server.vm,
+                    hard=True,
+                ),
+            )
+
+    def _compare_running(
+        self,
+        server: BackendServer,
+        running: tuple[AttemptId, ...],
+        now: float,
+    ) -> None:
+        """Match orphans with the attempts that `server` reports."""
+        reported = {permit_of(attempt): attempt for attempt in running}
+        for permit_id, attempt in reported.items():
+            known = (
+                permit_id in self._permits
+                or permit_id in server.orphans
+                or permit_id in self._closed
+            )
+            if not known:
+                fenced_at = max(now, self._fenced_at)
+                orphan = Orphan(team_of(attempt), server.pool, fenced_at)
+                self._add_orphan(server, permit_id, orphan, "unknown attempt")
+        for permit_id, orphan in list(server.orphans.items()):
+            if permit_id in reported or now < orphan.fenced_at:
+                orphan.reports = 0
+                continue
+            orphan.reports += 1
+            if orphan.reports >= ORPHAN_REPORTS:
+                self._end_orphan(server, permit_id, now, "not running")
+
+    def _count(self, permit_id: PermitId, grant: _Grant) -> None:
+        self._permits[permit_id] = grant
+        self._servers[grant.server].permits.add(permit_id)
+        self._running[grant.team] += 1
+        account = self._pools[grant.pool].account
+        account.set_weight(grant.team, self._policy.weight(grant.team))
+        account.start(grant.team, grant.since)
+
+    def _release(self, permit_id: PermitId, now: float) -> None:
+        """End a permit whose attempts have all ended."""
+        grant = self._uncount(permit_id, now)
+        self._running[grant.team] -= 1
+        self._close(permit_id, grant.team, grant.pool, now)
+
+    def _uncount(self, permit_id: PermitId, now: float) -> _Grant:
+        grant = self._permits.pop(permit_id)
+        self._servers[grant.server].permits.discard(permit_id)
+        session = self._holders.get(grant.holder)
+        if session is not None:
+            session.permits.discard(permit_id)
+        self._pools[grant.pool].account.finish(grant.team, grant.since, now)
+        return grant
+
+    def _close(
+        self, permit_id: PermitId, team: TeamId, pool: PoolId, now: float
+    ) -> None:
+        self._closed[permit_id] = now
+        self._dirty.add(pool)
+        if team in self._blocked_teams:
+            self._dirty.update(
+                pool_id
+                for pool_id, known in self._pools.items()
+                if team in known.waiting
+            )
+
+    def _orphan(self, permit_id: PermitId, now: float, reason: str) -> None:
+        """Keep a permit without a holder counted until its end is proved."""
+        grant = self._uncount(permit_id, now)
+        self._running[grant.team] -= 1
+        server = self._servers[grant.server]
+        orphan = Orphan(grant.team, grant.pool, now + SESSION_MARGIN_SECONDS)
+        self._add_orphan(server, permit_id, orphan, reason)
+
+    def _add_orphan(
+        self,
+        server: BackendServer,
+        permit_id: PermitId,
+        orphan: Orphan,
+        reason: str,
+    ) -> None:
+        server.orphans[permit_id] = orphan
+        self._running[orphan.team] += 1
+        self._decide(
+            DecisionKind.ORPHAN, server.vm, reason, orphan.team, permit_id
+        )
+
+    def _drop_orphan(self, server: BackendServer, permit_id: PermitId) -> None:
+        orphan = server.orphans.pop(permit_id)
+        self._running[orphan.team] -= 1
+
+    def _end_orphan(
+        self,
+        server: BackendServer,
+        permit_id: PermitId,
+        now: float,
+        reason: str,
+    ) -> None:
+        orphan = server.orphans[permit_id]
+        self._drop_orphan(server, permit_id)
+        self._close(permit_id, orphan.team, orphan.pool, now)
+        self._decide(
+            DecisionKind.ORPHAN_ENDED, server.vm, reason, orphan.team, permit_id
+        )
+
+    def _end_session(self, vm: VmId, session: _Holder, now: float) -> None:
+        self._clear_waiting(vm, session)
+        for permit_id in list(session.permits):
+            self._orphan(permit_id, now, f"session of {vm} ended")
+        del self._holders[vm]
+
+    def _set_waiting(
+        self,
+        holder: VmId,
+        session: _Holder,
+        pair: tuple[PoolId, TeamId],
+        waiting: int,
+    ) -> None:
+        pool_id, team = pair
+        pool = self._pools[pool_id]
+        if waiting:
+            session.waiting[pair] = waiting
+            if team not in pool.waiting:
+                pool.waiting[team] = collections.OrderedDict()
+                pool.account.set_weight(team, self._policy.weight(team))
+            pool.waiting[team][holder] = waiting
+            return
+        session.waiting.pop(pair, None)
+        by_holder = pool.waiting.get(team)
+        if by_holder is None:
+            return
+        by_holder.pop(holder, None)
+        if not by_holder:
+            del pool.waiting[team]
+            if not any(team in p.waiting for p in self._pools.values()):
+                self._blocked_teams.discard(team)
+
+    def _clear_waiting(self, holder: VmId, session: _Holder) -> None:
+        for pair in list(session.waiting):
+            self._set_waiting(holder, session, pair, 0)
+
+    def _allocate_pool(self, pool_id: PoolId, pool: _Pool, now: float) -> None:
+        granted: dict[VmId, list[messages.Permit]] = collections.defaultdict(
+            list
+        )
+        slots = sum(server.slots for server in pool.servers.values())
+        is_full = False
+        while eligible := self._eligible_teams(pool):
+            server, reason = self._choose_server(pool, now)
+            if server is None:
+                is_full = True
+                break
+            team = pool.account.next_team(eligible, now, slots)
+            holder = self._choose_holder(pool, team)
+            permit = self._grant(holder, server, team, pool_id, reason, now)
+            granted[holder].append(permit)
+        for holder, permits in granted.items():
+            self._send(
+                holder,
+                messages.Granted(
+                    self._availability_zone, self._epoch, tuple(permits)
+                ),
+            )
+        # Recalls follow the grants, so that they apply to these as well.
+        self._recall_for_blocked(pool, eligible)
+        if is_full:
+            self._recall_for_pool(pool_id, pool)
+        elif not pool.waiting:
+            pool.is_contended = False
+
+    def _eligible_teams(self, pool: _Pool) -> list[TeamId]:
+        """Return the teams that wait and are below their allotment."""
+        return [
+            team
+            for team in pool.waiting
+            if self._running[team] < self._policy.allotment(team)
+        ]
+
+    def _choose_server(
+        self, pool: _Pool, now: float
+    ) -> tuple[BackendServer | None, str]:
+        """Return the backend server with most free slots, and why it was."""
+        best = None
+        out = collections.Counter()
+        for server in pool.servers.values():
+            cause = self._cause_out(pool, server, now)
+            if cause:
+                out[cause] += 1
+            elif best is None or (server.free, server.vm) > (
+                best.free,
+                best.vm,
+            ):
+                best = server
+        if best is None:
+            return None, ""
+        reason = f"most free slots ({best.free} of {best.slots})"
+        if out:
+            causes = ", ".join(f"{n} {cause}" for cause, n in out.items())
+            reason = f"{reason}; out: {causes}"
+        return best, reason
+
+    def _cause_out(self, pool: _Pool, server: BackendServer, now: float) -> str:
+        if server.free <= 0:
+            return "full"
+        if server.is_leaving:
+            return "leaving"
+        if server.lease_deadline <= now:
+            return "silent"
+        if server.known_reports < ORPHAN_REPORTS:
+            return "not yet compared"
+        if pool.failures.is_quarantined(server.vm, now):
+            return "quarantined"
+        if self._policy.refusal(server.vm, server.pool):
+            return "not in the pool"
+        return ""
+
+    def _choose_holder(self, pool: _Pool, team: TeamId) -> VmId:
+        """Return the next holder of `team`'s requests, in rotation."""
+        by_holder = pool.waiting[team]
+        holder = next(iter(by_holder))
+        by_holder.move_to_end(holder)
+        return holder
+
+    def _grant(
+        self,
+        holder: VmId,
+        server: BackendServer,
+        team: TeamId,
+        pool_id: PoolId,
+        reason: str,
+        now: float,
+    ) -> messages.Permit:
+        self._next_permit += 1
+        permit_id = PermitId(f"{self._epoch}.{self._next_permit}")
+        session = self._holders[holder]
+        pair = (pool_id, team)
+        session.granted[pair] += 1
+        session.permits.add(permit_id)
+        self._set_waiting(holder, session, pair, session.waiting[pair] - 1)
+        self._count(permit_id, _Grant(holder, server.vm, team, pool_id, now))
+        pool = self._pools[pool_id]
+        self._decide(DecisionKind.GRANT, server.vm, reason, team, permit_id)
+        return messages.Permit(
+            permit_id,
+            server.vm,
+            server.incarnation,
+            server.address,
+            pool_id,
+            team,
+            pool.is_contended or team in self._blocked_teams,
+            reason,
+        )
+
+    def _recall_for_pool(self, pool_id: PoolId, pool: _Pool) -> None:
+        """Ask once for idle permits when requests begin to wait."""
+        if pool.is_contended:
+            return
+        pool.is_contended = True
+        self._recall_all(pool=pool_id)
+
+    def _recall_for_blocked(self, pool: _Pool, eligible: list[TeamId]) -> None:
+        for team in pool.waiting:
+            if team not in eligible and team not in self._blocked_teams:
+                self._blocked_teams.add(team)
+                self._recall_all(team=team)
+
+    def _recall_all(
+        self,
+        pool: PoolId | str = "",
+        team: TeamId | str = "",
+        hard: bool = False,
+    ) -> None:
+        recall = messages.Recall(
+            self._availability_zone, self._epoch, pool, team, hard=hard
+        )
+        holders = {
+            grant.holder
+            for grant in self._permits.values()
+            if pool in ("", grant.pool) and team in ("", grant.team)
+        }
+        for holder in holders:
+            self._send(holder, recall)
+
+    def _record_outcomes(
+        self, grant: _Grant, line: messages.ReturnedPermit, now: float
+    ) -> None:
+        failures = self._pools[grant.pool].failures
+        if failures.record(grant.server, line.requests, line.failures, now):
+            self._decide(
+                DecisionKind.QUARANTINE,
+                grant.server,
+                "fails requests that its peers complete",
+            )
--- /dev/null
+++ b/galenarill/scheduling/servers.py
@@ -0,0 +1,105 @@
+"""Backend servers as a zone's scheduler sees them."""
+
+import dataclasses
+
+from galenarill.scheduling import messages
+from galenarill.world import AttemptId, PermitId, PoolId, TeamId, VmId
+
+__all__ = [
+    "BackendServer",
+    "Orphan",
+    "permit_of",
+    "team_of",
+    "SERVER_LEASE_SECONDS",
+]
+
+# Time after its last announcement for which a backend server gets work.
+SERVER_LEASE_SECONDS = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Orphan:
+    """A permit that has no holder, but whose attempts may still run.
+
+    Attributes:
+        team: Team that it counts for.
+        pool: Pool that it was given in.
+        fenced_at: Time from which its last holder can start nothing more.
+        reports: Reports without its attempts that arrived after `fenced_at`.
+    """
+
+    team: TeamId
+    pool: PoolId
+    fenced_at: float
+    reports: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class BackendServer:
+    """A backend server and the use of its slots.
+
+    Attributes:
+        vm: VM that it runs on.
+        pool: Pool that it serves.
+        address: `host:port` where it takes requests.
+        incarnation: Changes with each start.
+        sequence: Number of its last announcement.
+        slots: Requests that it may run at once, each on a connection of its
+            own.
+        lease_deadline: Time from which it gets no more work.
+        is_leaving: Whether it departs.
+        known_reports: Reports since the scheduler could begin to grant.
+        permits: Permits out.
+        orphans: Permits without a holder that may still run.
+    """
+
+    vm: VmId
+    pool: PoolId
+    address: str
+    incarnation: str
+    sequence: int
+    slots: int
+    lease_deadline: float
+    is_leaving: bool = False
+    known_reports: int = 0
+    permits: set[PermitId] = dataclasses.field(default_factory=set)
+    orphans: dict[PermitId, Orphan] = dataclasses.field(default_factory=dict)
+
+    @property
+    def used(self) -> int:
+        """Slots that are or may be in use."""
+        return len(self.permits) + len(self.orphans)
+
+    @property
+    def free(self) -> int:
+        """Slots that may be granted, negative after a takeover or cut."""
+        return self.slots - self.used
+
+    def update(self, report: messages.ServerReport, now: float) -> None:
+        """Take over what the backend server says of itself."""
+        self.pool = report.pool
+        self.address = report.address
+        self.sequence = report.sequence
+        self.slots = min(report.slots, report.connections)
+        self.is_leaving = report.leaving
+        self.lease_deadline = now + SERVER_LEASE_SECONDS
+
+
+def permit_of(attempt: AttemptId) -> PermitId:
+    """Return the permit that `attempt` was started on.
+
+    Example:
+        >>> permit_of("az-a.5f.12.3~municipal")
+        'az-a.5f.12'
+    """
+    return PermitId(attempt.partition("~")[0].rpartition(".")[0])
+
+
+def team_of(attempt: AttemptId) -> TeamId:
+    """Return the team that `attempt` was started for.
+
+    Example:
+        >>> team_of("az-a.5f.12.3~municipal")
+        'municipal'
+    """
+    return TeamId(attempt.partition("~")[2])
--- /dev/null
+++ b/galenarill/settings/files.py
@@ -0,0 +1,180 @@
+"""Settings files: one base for the fleet and an overlay for each site."""
+
+import dataclasses
+import pathlib
+import re
+import tomllib
+from decimal import Decimal
+
+from galenarill.errors import Finding, SettingsError, SettingsFindings
+from galenarill.settings.check import structure_settings
+from galenarill.settings.model import FleetSettings
+
+__all__ = ["Origin", "LoadedSettings", "load_settings", "flatten", "unflatten"]
+
+Path = tuple[str, ...]
+
+TABLE_LINE = re.compile(r"^\s*\[\[?\s*([^\]]+?)\s*\]\]?")
+KEY_LINE = re.compile(r"^\s*([A-Za-z0-9_\-\".]+)\s*=")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Place that a value comes from.
+
+    Attributes:
+        file: Settings file.
+        line: Line number from 1, or 0 where no line can be named.
+    """
+
+    file: str
+    line: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadedSettings:
+    """Base and overlay, merged and checked.
+
+    Attributes:
+        settings: Checked values.
+        raw: Merged tables and values.
+        origins: Place of each value, by its path.
+    """
+
+    settings: FleetSettings
+    raw: dict
+    origins: dict[Path, Origin]
+
+
+def load_settings(
+    base: pathlib.Path, overlay: pathlib.Path | None = None
+) -> LoadedSettings:
+    """Read, merge and check settings.
+
+    Args:
+        base: File for the whole fleet.
+        overlay: File that states only where a site differs.
+
+    Returns:
+        The merged settings.
+
+    Raises:
+        SettingsFindings: Every fault, with file, line and path.
+    """
+    findings: list[Finding] = []
+    values: dict[Path, object] = {}
+    origins: dict[Path, Origin] = {}
+    for file in [base, *([overlay] if overlay else [])]:
+        raw, lines = _read(file, findings)
+        for path, value in flatten(raw).items():
+            origin = Origin(str(file), _line_of(lines, path))
+            if path in values and values[path] == value:
+                text = f"restates the value {value!r} of {base}"
+                findings.append(_finding(origin, path, text))
+            values[path] = value
+            origins[path] = origin
+    merged = unflatten(values)
+    settings, faults = structure_settings(merged)
+    for fault in faults:
+        origin = _origin_of(origins, fault.path, str(overlay or base))
+        findings.append(_finding(origin, fault.path, fault.text))
+    if findings or settings is None:
+        raise SettingsFindings(
+            f"{len(findings)} faults in the settings",
+            [SettingsError(finding) for finding in findings],
+        )
+    return LoadedSettings(settings, merged, origins)
+
+
+def flatten(raw: dict) -> dict[Path, object]:
+    """Return every value of nested tables by its path; lists are values.
+
+    Example:
+        >>> flatten({"teams": {"a": {"share": 1}}})
+        {('teams', 'a', 'share'): 1}
+    """
+    flat: dict[Path, object] = {}
+    for key, value in raw.items():
+        if isinstance(value, dict) and value:
+            for path, inner in flatten(value).items():
+                flat[key, *path] = inner
+        else:
+            flat[key,] = value
+    return flat
+
+
+def unflatten(values: dict[Path, object]) -> dict:
+    """Return nested tables for values by path.
+
+    Example:
+        >>> unflatten({("teams", "a", "share"): 1})
+        {'teams': {'a': {'share': 1}}}
+    """
+    raw: dict = {}
+    for path, value in values.items():
+        table = raw
+        for key in path[:-1]:
+            inner = table.get(key)
+            if not isinstance(inner, dict):
+                inner = table[key] = {}
+            table = inner
+        if not (isinstance(table.get(path[-1]), dict) and value == {}):
+            table[path[-1]] = value
+    return raw
+
+
+def _read(
+    file: pathlib.Path, findings: list[Finding]
+) -> tuple[dict, dict[Path, int]]:
+    try:
+        text = file.read_text(encoding="utf-8")
+        raw = tomllib.loads(text, parse_float=Decimal)
+    except (OSError, UnicodeDecodeError) as error:
+        findings.append(Finding(str(file), 0, "", f"cannot be read: {error}"))
+        return {}, {}
+    except tomllib.TOMLDecodeError as error:
+        match = re.search(r"at line (\d+)", str(error))
+        line = int(match.group(1)) if match else 0
+        findings.append(Finding(str(file), line, "", str(error)))
+        return {}, {}
+    return raw, _lines_of(text)
+
+
+def _lines_of(text: str) -> dict[Path, int]:
+    """Return the line on which each table and key of a file first stands."""
+    lines: dict[Path, int] = {}
+    table: Path = ()
+    for number, line in enumerate(text.splitlines(), 1):
+        if match := TABLE_LINE.match(line):
+            table = _split_path(match.group(1))
+            lines.setdefault(table, number)
+        elif match := KEY_LINE.match(line):
+            lines.setdefault((*table, *_split_path(match.group(1))), number)
+    return lines
+
+
+def _split_path(text: str) -> Path:
+    return tuple(part.strip().strip("\"'") for part in text.split("."))
+
+
+def _line_of(lines: dict[Path, int], path: Path) -> int:
+    for length in range(len(path), 0, -1):
+        if path[:length] in lines:
+            return lines[path[:length]]
+    return 0
+
+
+def _origin_of(
+    origins: dict[Path, Origin], path: Path, default_file: str
+) -> Origin:
+    """Return the place of `path`, or of the first value below it."""
+    for length in range(len(path), 0, -1):
+        prefix = path[:length]
+        for known, origin in origins.items():
+            if known[:length] == prefix:
+                return origin
+    return Origin(default_file, 0)
+
+
+def _finding(origin: Origin, path: Path, text: str) -> Finding:
+    return Finding(origin.file, origin.line, ".".join(path), text)
--- /dev/null
+++ b/galenarill/settings/process.py
@@ -0,0 +1,129 @@
+"""Settings of one entry VM's process."""
+
+import dataclasses
+import pathlib
+import tomllib
+
+import cattrs
+
+from galenarill.errors import Finding, SettingsError, SettingsFindings
+from galenarill.settings.check import faults_of, make_converter
+from galenarill.world import AvailabilityZoneId, VmId
+
+__all__ = ["PeerSettings", "ProcessSettings", "load_process_settings"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerSettings:
+    """One entry VM of the fleet.
+
+    Attributes:
+        id: VM id.
+        availability_zone: Zone.
+        links: `host:port` for links between entry VMs.
+        callers: `host:port` for callers, backend servers and operators.
+        voter: Whether it has a disk and votes in the replicated log.
+    """
+
+    id: str
+    availability_zone: str
+    links: str
+    callers: str
+    voter: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ProcessSettings:
+    """Settings of one `galenarill serve`.
+
+    Attributes:
+        vm: Id of this entry VM, which is among `entry_vms`.
+        link_secret_file: File with the secret that entry VMs share.
+        operators_file: TOML file with the operators' roles and key digests.
+        entry_vms: Every entry VM of the fleet.
+        data_folder: Folder of the replicated log, on voters.
+        log_file: File for the log lines, or "" for standard error.
+        platform: Base URL of the platform's interface, or "".
+    """
+
+    vm: str
+    link_secret_file: str
+    operators_file: str
+    entry_vms: list[PeerSettings]
+    data_folder: str = ""
+    log_file: str = ""
+    platform: str = ""
+
+    @property
+    def own(self) -> PeerSettings:
+        """This entry VM."""
+        return next(peer for peer in self.entry_vms if peer.id == self.vm)
+
+    @property
+    def zones(self) -> dict[VmId, AvailabilityZoneId]:
+        """Zone of each entry VM."""
+        return {
+            VmId(peer.id): AvailabilityZoneId(peer.availability_zone)
+            for peer in self.entry_vms
+        }
+
+    @property
+    def voters(self) -> frozenset[VmId]:
+        """Entry VMs that vote in the replicated log."""
+        return frozenset(VmId(p.id) for p in self.entry_vms if p.voter)
+
+
+def load_process_settings(file: pathlib.Path) -> ProcessSettings:
+    """Read and check the settings of one process.
+
+    Args:
+        file: TOML file.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsFindings: Every fault.
+    """
+    try:
+        raw = tomllib.loads(file.read_text(encoding="utf-8"))
+        settings = make_converter().structure(raw, ProcessSettings)
+    except (OSError, ValueError) as error:
+        _raise(file, [("", str(error))])
+    except cattrs.BaseValidationError as error:
+        faults = faults_of(error, ())
+        _raise(file, [(".".join(f.path), f.text) for f in faults])
+    faults = _find_faults(settings)
+    if faults:
+        _raise(file, faults)
+    return settings
+
+
+def _find_faults(settings: ProcessSettings) -> list[tuple[str, str]]:
+    faults = []
+    ids = [peer.id for peer in settings.entry_vms]
+    if settings.vm not in ids:
+        faults.append(("vm", f"{settings.vm!r} is not among entry_vms"))
+    if len(set(ids)) < len(ids):
+        faults.append(("entry_vms", "two entries have the same id"))
+    voters = len(settings.voters)
+    if voters % 2 == 0:
+        faults.append(
+            ("entry_vms", f"the number of voters must be odd, not {voters}")
+        )
+    for peer in settings.entry_vms:
+        for key in ("links", "callers"):
+            host, _, port = getattr(peer, key).rpartition(":")
+            if not host or not port.isdigit():
+                text = f"must be host:port, not {getattr(peer, key)!r}"
+                faults.append((f"entry_vms.{peer.id}.{key}", text))
+    if not faults and settings.own.voter and not settings.data_folder:
+        faults.append(("data_folder", "a voter needs a data folder"))
+    return faults
+
+
+def _raise(file: pathlib.Path, faults: list[tuple[str, str]]):
+    raise SettingsFindings(
+        f"{len(faults)} faults in {file}",
+        [SettingsError(Finding(str(file), 0, path, t)) for path, t in faults],
+    )
--- /dev/null
+++ b/galenarill/state/budgets.py
@@ -0,0 +1,44 @@
+"""Availability budgets of pools."""
+
+from collections.abc import Iterable
+
+from galenarill.settings import PoolSettings
+from galenarill.state.records import VmRecord
+from galenarill.world import PoolId
+
+__all__ = ["refusal"]
+
+
+def refusal(
+    vm: VmRecord,
+    pool_id: PoolId,
+    pool: PoolSettings,
+    vms: Iterable[VmRecord],
+) -> str:
+    """Return why `vm` may not become unavailable, or "" if it may.
+
+    Drains, maintenance, moves and losses all count against the same budget.
+
+    Args:
+        vm: VM that is available.
+        pool_id: Pool of the VM.
+        pool: Settings of the pool.
+        vms: Every VM of the fleet.
+
+    Returns:
+        The reason, or "".
+    """
+    out = [v for v in vms if v.pool == pool_id and not v.is_available]
+    if len(out) >= pool.max_unavailable:
+        return (
+            f"pool {pool_id} has {len(out)} of at most "
+            f"{pool.max_unavailable} VMs unavailable"
+        )
+    in_rack = sum(v.rack == vm.rack for v in out)
+    if in_rack >= pool.max_unavailable_per_rack:
+        return (
+            f"pool {pool_id} has {in_rack} of at most "
+            f"{pool.max_unavailable_per_rack} VMs of rack {vm.rack} "
+            "unavailable"
+        )
+    return ""
--- /dev/null
+++ b/galenarill/state/fleet.py
@@ -0,0 +1,443 @@
+"""The replicated state of the fleet."""
+
+import collections
+import functools
+
+import cbor2
+import msgspec
+
+from galenarill.settings import (
+    FleetSettings,
+    flatten,
+    structure_settings,
+    unflatten,
+    upper_limit_slots,
+)
+from galenarill.state import budgets, commands
+from galenarill.state.commands import Change, Outcome, OutcomeCode
+from galenarill.state.escrow import LimitEscrow
+from galenarill.state.records import (
+    AuditEntry,
+    ChangeRecord,
+    KeyRecord,
+    VmRecord,
+    VmState,
+)
+from galenarill.world import ChangeId, KeyId, TeamId, VmId
+
+__all__ = ["FleetState"]
+
+MAX_CHANGE_RECORDS = 10_000
+MAX_AUDIT_ENTRIES = 2_000
+Path = tuple[str, ...]
+
+
+class FleetState:
+    """Settings, keys, VMs and allotments, changed only by `apply`.
+
+    Every entry VM applies the same changes in the same order and gets the same
+    state. The version is the index of the last entry applied.
+    """
+
+    def __init__(self):
+        """Make an empty state at version 0."""
+        self._version = 0
+        self._values: dict[Path, object] = {}
+        self._modified: dict[Path, int] = {}
+        self._settings = FleetSettings()
+        self._keys: dict[KeyId, KeyRecord] = {}
+        self._vms: dict[VmId, VmRecord] = {}
+        self._limits: dict[TeamId, LimitEscrow] = {}
+        self._changes: collections.OrderedDict[ChangeId, Outcome] = (
+            collections.OrderedDict()
+        )
+        self._audit: collections.deque[AuditEntry] = collections.deque(
+            maxlen=MAX_AUDIT_ENTRIES
+        )
+
+    @property
+    def version(self) -> int:
+        """Index of the last entry applied."""
+        return self._version
+
+    @property
+    def settings(self) -> FleetSettings:
+        """Checked settings."""
+        return self._settings
+
+    @property
+    def raw_settings(self) -> dict:
+        """Settings as tables and values."""
+        return unflatten(self._values)
+
+    @property
+    def keys(self) -> dict[KeyId, KeyRecord]:
+        """Keys, withdrawn ones included."""
+        return self._keys
+
+    @property
+    def vms(self) -> dict[VmId, VmRecord]:
+        """VMs."""
+        return self._vms
+
+    @property
+    def limits(self) -> dict[TeamId, LimitEscrow]:
+        """Upper limit and allotments of each team."""
+        return self._limits
+
+    @property
+    def audit(self) -> collections.deque[AuditEntry]:
+        """The latest changes that were accepted."""
+        return self._audit
+
+    def modified_version(self, path: Path) -> int:
+        """Return the version that last changed the setting at `path`."""
+        return self._modified.get(path, 0)
+
+    def outcome_of(self, change_id: ChangeId) -> Outcome | None:
+        """Return the first outcome of a change, if it was applied lately."""
+        return self._changes.get(change_id)
+
+    def skip(self, index: int) -> None:
+        """Note an entry of the log that holds no change."""
+        self._version = index
+
+    def apply(self, index: int, change: Change) -> Outcome:
+        """Apply one change.
+
+        Args:
+            index: Its index in the log.
+            change: The change.
+
+        Returns:
+            The outcome, or the first outcome if the change was applied before.
+        """
+        self._version = index
+        earlier = self._changes.get(change.change_id)
+        if earlier is not None:
+            return earlier
+        outcome = self._dispatch(change)
+        self._changes[change.change_id] = outcome
+        while len(self._changes) > MAX_CHANGE_RECORDS:
+            self._changes.popitem(last=False)
+        if outcome.is_accepted:
+            text = f"{_describe(change.command)}: {outcome.detail}"
+            self._audit.append(
+                AuditEntry(index, change.at, change.operator, text)
+            )
+        return outcome
+
+    def encode(self) -> bytes:
+        """Encode the whole state for a snapshot."""
+        changes = [ChangeRecord(k, v) for k, v in self._changes.items()]
+        return cbor2.dumps(
+            [
+                self._version,
+                [[list(p), v] for p, v in self._values.items()],
+                [[list(p), v] for p, v in self._modified.items()],
+                msgspec.to_builtins(list(self._keys.values())),
+                msgspec.to_builtins(self._vms),
+                msgspec.to_builtins(self._limits),
+                msgspec.to_builtins(changes),
+                msgspec.to_builtins(list(self._audit)),
+            ]
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "FleetState":
+        """Decode a snapshot; empty data is the empty state."""
+        state = cls()
+        if not data:
+            return state
+        version, values, modified, keys, vms, limits, changes, audit = (
+            cbor2.loads(data)
+        )
+        state._version = version
+        state._values = {tuple(p): v for p, v in values}
+        state._modified = {tuple(p): v for p, v in modified}
+        state._settings = structure_settings(unflatten(state._values))[0]
+        records = msgspec.convert(keys, list[KeyRecord])
+        state._keys = {record.key_id: record for record in records}
+        state._vms = msgspec.convert(vms, dict[str, VmRecord])
+        state._limits = msgspec.convert(limits, dict[str, LimitEscrow])
+        for record in msgspec.convert(changes, list[ChangeRecord]):
+            state._changes[record.change_id] = record.outcome
+        state._audit.extend(msgspec.convert(audit, list[AuditEntry]))
+        return state
+
+    def _accept(self, detail: str) -> Outcome:
+        return Outcome(OutcomeCode.ACCEPTED, self._version, detail)
+
+    def _refuse(self, code: OutcomeCode, detail: str) -> Outcome:
+        return Outcome(code, self._version, detail)
+
+    @functools.singledispatchmethod
+    def _run(self, command, change: Change) -> Outcome:
+        raise NotImplementedError(type(command).__name__)
+
+    def _dispatch(self, change: Change) -> Outcome:
+        return self._run(change.command, change)
+
+    @_run.register
+    def _edit_settings(
+        self, command: commands.EditSettings, change: Change
+    ) -> Outcome:
+        if conflicts := self._conflicts(command, change.based_on):
+            text = "; ".join(conflicts)
+            return self._refuse(OutcomeCode.CONFLICT, text)
+        values = dict(self._values)
+        for edit in command.edits:
+            _edit(values, edit)
+        settings, faults = structure_settings(unflatten(values))
+        if settings is None:
+            return Outcome(
+                OutcomeCode.INVALID,
+                self._version,
+                f"{len(faults)} faults in the settings",
+                tuple((".".join(f.path), f.text) for f in faults),
+            )
+        gone = [vm for vm in self._settings.vms.keys() - settings.vms.keys()]
+        if busy := [vm for vm in gone if not self._vms[vm].is_available]:
+            names = ", ".join(sorted(busy))
+            text = f"VMs out of service cannot be removed: {names}"
+            return self._refuse(OutcomeCode.CONFLICT, text)
+        changed = [e for e in command.edits if _differs(self._values, e)]
+        for edit in changed:
+            self._modified[edit.path] = self._version
+        self._values = values
+        self._settings = settings
+        self._follow_settings()
+        return self._accept(f"{len(changed)} settings changed")
+
+    def _conflicts(
+        self, command: commands.EditSettings, based_on: int
+    ) -> list[str]:
+        """Describe the edits of settings that changed since `based_on`."""
+        if based_on < 0:
+            return []
+        return [
+            f"{'.'.join(edit.path)} is {self._values.get(edit.path)!r} since "
+            f"version {self._modified[edit.path]}, not changed to "
+            f"{edit.value!r} based on version {based_on}"
+            for edit in command.edits
+            if self._modified.get(edit.path, 0) > based_on
+        ]
+
+    def _follow_settings(self) -> None:
+        """Bring VMs and limits in line with the settings."""
+        for name, vm in self._settings.vms.items():
+            known = self._vms.get(name)
+            if known is None:
+                known = VmRecord(vm.pool, vm.availability_zone, vm.rack)
+            self._vms[name] = msgspec.structs.replace(
+                known, availability_zone=vm.availability_zone, rack=vm.rack
+            )
+        for name in self._vms.keys() - self._settings.vms.keys():
+            del self._vms[name]
+        zones = sorted(
+            {vm.availability_zone for vm in self._settings.vms.values()}
+        )
+        for name, team in self._settings.teams.items():
+            limit = upper_limit_slots(self._settings, team)
+            escrow = self._limits.setdefault(name, LimitEscrow(0))
+            if escrow.limit != limit or set(zones) != escrow.targets.keys():
+                escrow.set_limit(limit, zones)
+        for name in self._limits.keys() - self._settings.teams.keys():
+            # Held allotments stay until the zones acknowledge.
+            self._limits[name].set_limit(0, zones)
+
+    @_run.register
+    def _give_key(self, command: commands.GiveKey, change: Change) -> Outcome:
+        if command.team not in self._settings.teams:
+            text = f"no team {command.team!r}"
+            return self._refuse(OutcomeCode.NOT_FOUND, text)
+        if command.key_id in self._keys:
+            text = f"key {command.key_id} exists or was withdrawn"
+            return self._refuse(OutcomeCode.CONFLICT, text)
+        self._keys[command.key_id] = KeyRecord(
+            command.key_id, command.team, command.digest
+        )
+        return self._accept(f"key {command.key_id} given to {command.team}")
+
+    @_run.register
+    def _withdraw_key(
+        self, command: commands.WithdrawKey, change: Change
+    ) -> Outcome:
+        known = self._keys.get(command.key_id)
+        if known is None:
+            known = KeyRecord(command.key_id, "", "")
+        self._keys[command.key_id] = msgspec.structs.replace(
+            known, is_withdrawn=True
+        )
+        return self._accept(f"key {command.key_id} withdrawn")
+
+    @_run.register
+    def _move_vm(self, command: commands.MoveVm, change: Change) -> Outcome:
+        vm = self._vms.get(command.vm)
+        if vm is None or command.to_pool not in self._settings.pools:
+            text = f"no VM {command.vm!r} or no pool {command.to_pool!r}"
+            return self._refuse(OutcomeCode.NOT_FOUND, text)
+        if vm.pool != command.from_pool or vm.target_pool:
+            text = (
+                f"{command.vm} belongs to pool {vm.pool}, target "
+                f"{vm.target_pool or 'none'}, expected {command.from_pool}"
+            )
+            return self._refuse(OutcomeCode.CONFLICT, text)
+        if refused := self._spend_budget(command.vm, vm):
+            return refused
+        self._vms[command.vm] = msgspec.structs.replace(
+            vm,
+            state=VmState.DRAINING,
+            grant=change.change_id,
+            target_pool=command.to_pool,
+        )
+        return self._accept(f"{command.vm} moves to pool {command.to_pool}")
+
+    @_run.register
+    def _start_drain(
+        self, command: commands.StartDrain, change: Change
+    ) -> Outcome:
+        vm = self._vms.get(command.vm)
+        if vm is None:
+            text = f"no VM {command.vm!r}"
+            return self._refuse(OutcomeCode.NOT_FOUND, text)
+        if refused := self._spend_budget(command.vm, vm):
+            return refused
+        self._vms[command.vm] = msgspec.structs.replace(
+            vm, state=VmState.DRAINING, grant=change.change_id
+        )
+        return self._accept(f"{command.vm} drains: {command.reason}")
+
+    def _spend_budget(self, name: VmId, vm: VmRecord) -> Outcome | None:
+        """Return a refusal unless the budget allows taking `vm` out."""
+        if vm.state is not VmState.SERVING:
+            text = f"{name} is {vm.state.value}"
+            return self._refuse(OutcomeCode.CONFLICT, text)
+        pool = self._settings.pools[vm.pool]
+        if reason := budgets.refusal(vm, vm.pool, pool, self._vms.values()):
+            return self._refuse(OutcomeCode.BUDGET_SPENT, reason)
+        return None
+
+    @_run.register
+    def _advance_drain(
+        self, command: commands.AdvanceDrain, change: Change
+    ) -> Outcome:
+        vm = self._vms.get(command.vm)
+        if (
+            vm is None
+            or vm.grant != command.grant
+            or (vm.state is not VmState.DRAINING)
+        ):
+            text = f"{command.vm} does not drain under {command.grant}"
+            return self._refuse(OutcomeCode.STALE, text)
+        self._vms[command.vm] = msgspec.structs.replace(
+            vm, state=VmState.MAINTAINED
+        )
+        return self._accept(f"{command.vm} is drained")
+
+    @_run.register
+    def _finish_drain(
+        self, command: commands.FinishDrain, change: Change
+    ) -> Outcome:
+        vm = self._vms.get(command.vm)
+        if (
+            vm is None
+            or vm.grant != command.grant
+            or (vm.state is not VmState.MAINTAINED)
+        ):
+            text = f"{command.vm} is not maintained under {command.grant}"
+            return self._refuse(OutcomeCode.STALE, text)
+        pool = vm.target_pool or vm.pool
+        self._vms[command.vm] = msgspec.structs.replace(
+            vm,
+            pool=pool,
+            state=VmState.SERVING,
+            grant="",
+            target_pool="",
+        )
+        return self._accept(f"{command.vm} serves pool {pool}")
+
+    @_run.register
+    def _report_loss(
+        self, command: commands.ReportLoss, change: Change
+    ) -> Outcome:
+        vm = self._vms.get(command.vm)
+        if vm is None or vm.state is not VmState.SERVING:
+            text = f"{command.vm} is not serving"
+            return self._refuse(OutcomeCode.STALE, text)
+        self._vms[command.vm] = msgspec.structs.replace(vm, state=VmState.LOST)
+        return self._accept(f"{command.vm} is lost")
+
+    @_run.register
+    def _report_return(
+        self, command: commands.ReportReturn, change: Change
+    ) -> Outcome:
+        vm = self._vms.get(command.vm)
+        if vm is None or vm.state is not VmState.LOST:
+            text = f"{command.vm} is not lost"
+            return self._refuse(OutcomeCode.STALE, text)
+        self._vms[command.vm] = msgspec.structs.replace(
+            vm, state=VmState.SERVING
+        )
+        return self._accept(f"{command.vm} is back")
+
+    @_run.register
+    def _give_allotment(
+        self, command: commands.GiveAllotment, change: Change
+    ) -> Outcome:
+        escrow = self._limits.get(command.team)
+        if not escrow or not escrow.give(
+            command.availability_zone, command.count
+        ):
+            return self._refuse(OutcomeCode.STALE, "the zone has less")
+        return self._accept(f"{command.count} slots given up")
+
+    @_run.register
+    def _take_allotment(
+        self, command: commands.TakeAllotment, change: Change
+    ) -> Outcome:
+        escrow = self._limits.get(command.team)
+        if not escrow or not escrow.take(
+            command.availability_zone, command.count
+        ):
+            return self._refuse(OutcomeCode.STALE, "too few are free")
+        return self._accept(f"{command.count} slots taken")
+
+    @_run.register
+    def _acknowledge_allotment(
+        self, command: commands.AcknowledgeAllotment, change: Change
+    ) -> Outcome:
+        escrow = self._limits.get(command.team)
+        if not escrow or not escrow.acknowledge(
+            command.availability_zone, command.target
+        ):
+            return self._refuse(OutcomeCode.STALE, "the target has changed")
+        return self._accept(f"keeps to {command.target} slots")
+
+
+def _edit(values: dict[Path, object], edit: commands.Edit) -> None:
+    """Apply one edit to settings by path."""
+    if edit.is_removed or isinstance(edit.value, dict):
+        length = len(edit.path)
+        for path in [p for p in values if p[:length] == edit.path]:
+            del values[path]
+    if edit.is_removed:
+        return
+    for length in range(1, len(edit.path)):
+        if values.get(edit.path[:length]) == {}:
+            del values[edit.path[:length]]
+    if isinstance(edit.value, dict) and edit.value:
+        for path, value in flatten(edit.value).items():
+            values[*edit.path, *path] = value
+    else:
+        values[edit.path] = edit.value
+
+
+def _differs(values: dict[Path, object], edit: commands.Edit) -> bool:
+    missing = object()
+    old = values.get(edit.path, missing)
+    return old is not missing if edit.is_removed else old != edit.value
+
+
+def _describe(command) -> str:
+    return type(command).__name__
