--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that show galenarill at work."""
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,208 @@
+"""A demonstration fleet for each example site, on loopback.
+
+Run it with `make run`. It exits 0 only if every answer was its own and every
+refusal said so truthfully.
+"""
+
+import asyncio
+import collections
+import hashlib
+import json
+import pathlib
+import sys
+import tempfile
+import time
+
+from standins.fleet import LocalFleet
+
+EXAMPLES = pathlib.Path(__file__).parent
+SITES = ("printworks", "association")
+REQUESTS_PER_TEAM = 60
+IN_FORCE_SECONDS = 5.0
+DRAIN_SECONDS = 20.0
+
+
+class Report:
+    """Lines of the demonstration, and whether all of it went well."""
+
+    def __init__(self):
+        """Begin a report without lines."""
+        self.failures = 0
+
+    def check(self, what: str, is_right: bool, detail: str = "") -> None:
+        """Print one line, and count it if it is not right."""
+        self.failures += not is_right
+        mark = "ok  " if is_right else "FAIL"
+        print(f"  {mark} {what}" + (f": {detail}" if detail else ""))
+
+
+async def show_work(fleet: LocalFleet, report: Report) -> None:
+    """Send work of every team through every entry VM."""
+    jobs = []
+    for number in range(REQUESTS_PER_TEAM):
+        for team in fleet.keys:
+            for vm in fleet.entry_vms:
+                queue = ("orders", "render", "proofs")[number % 3]
+                jobs.append(_send(fleet, vm, queue, team, f"{team}-{number}"))
+    results = collections.Counter(await asyncio.gather(*jobs))
+    total = sum(results.values())
+    detail = ", ".join(f"{n} {kind}" for kind, n in sorted(results.items()))
+    report.check(
+        f"{total} requests of {len(fleet.keys)} teams",
+        set(results) <= {"answered", "refused, not run"},
+        detail,
+    )
+
+
+async def _send(fleet, vm, queue, team, tag) -> str:
+    body = f"{vm} {tag}".encode()
+    status, _, data = await fleet.submit(
+        vm, queue, team, tail=f"work?sleep=0.02&tag={tag}", data=body
+    )
+    answer = json.loads(data)
+    if status != 200:
+        return f"refused, {answer['run']}"
+    expected = (hashlib.sha256(body).hexdigest(), tag, team)
+    found = (answer["digest"], answer["tag"], answer["team"])
+    return "answered" if found == expected else "WRONG ANSWER"
+
+
+async def show_limit(fleet: LocalFleet, report: Report) -> None:
+    """Lower a team's upper limit to 0 and see it refused, truthfully."""
+    path = ["teams", "walk-in", "upper_limit"]
+    await _edit(fleet, path, 0)
+    seconds = await _time_until_everywhere(fleet)
+    report.check(
+        "change in force at every entry VM", seconds < 2, f"{seconds:.2f} s"
+    )
+    before = _executions(fleet)
+    outcomes = []
+    for vm in fleet.entry_vms:
+        status, _, data = await fleet.submit(
+            vm,
+            "render",
+            "walk-in",
+            data=b"x",
+            headers={"Galenarill-Timeout-Seconds": "0.5"},
+        )
+        outcomes.append((status, json.loads(data)["run"]))
+    report.check(
+        "team above its upper limit is refused as not run",
+        all(o == (503, "not-run") for o in outcomes)
+        and _executions(fleet) == before,
+        str(outcomes[0]),
+    )
+    await _edit(fleet, path, 12)
+
+
+async def _edit(fleet: LocalFleet, path: list[str], value) -> None:
+    edits = [{"path": path, "value": value}]
+    status, answer = await fleet.admin(
+        "POST", "settings", json={"edits": edits}
+    )
+    if status != 200:
+        raise RuntimeError(f"change refused: {answer}")
+
+
+async def _time_until_everywhere(fleet: LocalFleet) -> float:
+    began_at = time.monotonic()
+    statuses = await fleet.statuses()
+    version = max(s["version"] for s in statuses.values())
+    while any(s["version"] < version for s in statuses.values()):
+        await asyncio.sleep(0.02)
+        statuses = await fleet.statuses()
+    return time.monotonic() - began_at
+
+
+def _executions(fleet: LocalFleet) -> int:
+    return sum(len(s.executions) for s in fleet.servers.values())
+
+
+async def show_key(fleet: LocalFleet, report: Report) -> None:
+    """Withdraw a key and see it refused at every entry VM."""
+    key_id = fleet.keys["proofing"].split("_")[1]
+    await fleet.admin("POST", f"keys/{key_id}/withdrawal", json={})
+    began_at = time.monotonic()
+    waiting = set(fleet.entry_vms)
+    while waiting and time.monotonic() < began_at + IN_FORCE_SECONDS:
+        for vm in list(waiting):
+            status, _, _ = await fleet.submit(
+                vm, "render", "proofing", data=b""
+            )
+            if status == 401:
+                waiting.discard(vm)
+    seconds = time.monotonic() - began_at
+    report.check(
+        "withdrawn key refused at every entry VM",
+        not waiting,
+        f"{seconds:.2f} s",
+    )
+
+
+async def show_drain(fleet: LocalFleet, report: Report) -> None:
+    """Drain a VM within the budget, and see a second one refused."""
+    first, second = [
+        vm
+        for vm, s in fleet.settings.settings.vms.items()
+        if s.pool == "render"
+    ][:2]
+    status, _ = await fleet.admin("POST", f"vms/{first}/drain", json={})
+    report.check(f"drain of {first} granted", status == 200)
+    status, answer = await fleet.admin("POST", f"vms/{second}/drain", json={})
+    report.check(
+        f"drain of {second} refused by the availability budget",
+        answer["outcome"] == "budget-spent",
+        answer["detail"],
+    )
+    deadline = time.monotonic() + DRAIN_SECONDS
+    while time.monotonic() < deadline:
+        _, status = await fleet.admin("GET", "status")
+        if status["vms"][first][3] == "serving":
+            break
+        await asyncio.sleep(0.1)
+    report.check(
+        f"{first} rebooted once and serves again",
+        [vm for vm, _ in fleet.platform.reboots] == [first],
+    )
+
+
+async def show_move(fleet: LocalFleet, report: Report) -> None:
+    """Move a spare VM into another pool."""
+    body = {"from_pool": "spare", "to_pool": "render"}
+    status, _ = await fleet.admin("POST", "vms/spare-a1/move", json=body)
+    deadline = time.monotonic() + DRAIN_SECONDS
+    pool = "spare"
+    while status == 200 and time.monotonic() < deadline and pool == "spare":
+        _, answer = await fleet.admin("GET", "status")
+        pool = answer["vms"]["spare-a1"][0]
+        await asyncio.sleep(0.1)
+    report.check("spare-a1 moved to pool render", pool == "render")
+
+
+async def show_site(site: str, report: Report) -> None:
+    """Run the demonstration for one site."""
+    print(f"{site}:")
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+        overlay = EXAMPLES / site / "site.toml"
+        async with LocalFleet(
+            pathlib.Path(folder), EXAMPLES / "base.toml", overlay
+        ) as fleet:
+            await show_work(fleet, report)
+            await show_limit(fleet, report)
+            await show_key(fleet, report)
+            await show_drain(fleet, report)
+            await show_move(fleet, report)
+            most = max(s.most_running for s in fleet.servers.values())
+            report.check("no slot overcommitted", most <= 8, f"{most} of 8")
+
+
+async def run() -> int:
+    """Run every site and return the exit code."""
+    report = Report()
+    for site in SITES:
+        await show_site(site, report)
+    return 1 if report.failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run()))
--- /dev/null
+++ b/galenarill/claims/__init__.py
@@ -0,0 +1,6 @@
+"""At most once: claims on request ids."""
+
+from galenarill.claims.ids import *  # noqa: F403
+from galenarill.claims.messages import *  # noqa: F403
+from galenarill.claims.round import *  # noqa: F403
+from galenarill.claims.table import *  # noqa: F403
--- /dev/null
+++ b/galenarill/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from galenarill.cli.app import *  # noqa: F403
--- /dev/null
+++ b/galenarill/cli/app.py
@@ -0,0 +1,59 @@
+"""Entry point of the command line."""
+
+import asyncio
+import pathlib
+import sys
+from typing import Annotated
+
+import cyclopts
+
+from galenarill.errors import (
+    GalenarillError,
+    SettingsFindings,
+)
+
+__all__ = ["app", "main"]
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+
+app = cyclopts.App(
+    name="galenarill",
+    help="Fleet capacity and maintenance manager.",
+    version_flags=["--version"],
+)
+
+
+@app.command
+def serve(settings: Annotated[pathlib.Path, cyclopts.Parameter()]) -> None:
+    """Run one entry VM until it gets SIGTERM.
+
+    Example: galenarill serve /etc/galenarill/entry.toml
+
+    Args:
+        settings: TOML file with the settings of this process.
+    """
+    # Only this command needs the serving libraries, so the others start fast.
+    import uvloop
+
+    from galenarill.entry import serve as serve_entry_vm
+    from galenarill.entry import start_logging
+    from galenarill.settings import load_process_settings
+
+    loaded = load_process_settings(settings)
+    buffer = start_logging(loaded.vm, loaded.log_file)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve_entry_vm(loaded, buffer))
+
+
+def main() -> None:
+    """Run the command line, and turn errors into text and an exit code."""
+    try:
+        app()
+    except SettingsFindings as group:
+        for error in group.exceptions:
+            print(error, file=sys.stderr)
+        sys.exit(EXIT_INVALID)
+    except GalenarillError as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
--- a/galenarill/consensus/replica.py
+++ b/galenarill/consensus/replica.py
@@ -179,6 +179,11 @@
         """Latest term known."""
         return self._hard_state.term
 
+    @property
+    def hard_state(self) -> HardState:
+        """Term and vote that the disk has to hold."""
+        return self._hard_state
+
     @property
     def leader(self) -> VmId | None:
         """Leader of the current term, if known."""
--- /dev/null
+++ b/galenarill/entry/admin.py
@@ -0,0 +1,280 @@
+"""Administration interface over HTTP."""
+
+import functools
+import json
+import secrets
+from decimal import Decimal
+
+import msgspec
+from aiohttp import web
+
+from galenarill.entry.control import ControlPath
+from galenarill.entry.keyring import KeyRing
+from galenarill.entry.operators import Operators, Role
+from galenarill.entry.problems import RunState, problem
+from galenarill.errors import AuthenticationError, NotLeaderError
+from galenarill.settings import slots_in_units
+from galenarill.state import (
+    Edit,
+    EditSettings,
+    GiveKey,
+    MoveVm,
+    Outcome,
+    OutcomeCode,
+    StartDrain,
+    WithdrawKey,
+)
+from galenarill.world import ChangeId, KeyId, OperatorId
+
+__all__ = ["AdminInterface"]
+
+OUTCOME_STATUS = {
+    OutcomeCode.ACCEPTED: 200,
+    OutcomeCode.CONFLICT: 409,
+    OutcomeCode.INVALID: 422,
+    OutcomeCode.NOT_FOUND: 404,
+    OutcomeCode.BUDGET_SPENT: 409,
+    OutcomeCode.STALE: 409,
+}
+_encode = msgspec.json.Encoder(decimal_format="number").encode
+
+
+def _with_role(role: Role):
+    """Admit only operators with `role`, and turn errors into problems."""
+
+    def decorate(handler):
+        @functools.wraps(handler)
+        async def wrapped(self, request: web.Request) -> web.Response:
+            try:
+                operator = self._operators.authenticate(
+                    request.headers.get("Authorization"), role
+                )
+                return await handler(self, request, operator)
+            except AuthenticationError as error:
+                return problem(401, "operator-unknown", str(error))
+            except PermissionError as error:
+                return problem(403, "role-too-low", str(error))
+            except NotLeaderError as error:
+                return problem(
+                    503,
+                    "no-leader",
+                    f"{error}; resend with the same change id",
+                    RunState.UNKNOWN,
+                    retry_after=1,
+                )
+            except (ValueError, KeyError, TypeError) as error:
+                detail = f"not a valid change: {error!r}"
+                return problem(400, "bad-request", detail)
+
+        return wrapped
+
+    return decorate
+
+
+class AdminInterface:
+    """Reads and changes the replicated state for operators."""
+
+    def __init__(
+        self,
+        control: ControlPath,
+        keys: KeyRing,
+        operators: Operators,
+        get_status,
+    ):
+        """Make the interface of one entry VM.
+
+        Args:
+            control: Control path of this VM.
+            keys: Key ring of this VM.
+            operators: Who may do what.
+            get_status: Returns what this VM tells of itself, as a dict.
+        """
+        self._control = control
+        self._keys = keys
+        self._operators = operators
+        self._get_status = get_status
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the operators' endpoints to `app`."""
+        router = app.router
+        router.add_get("/v1/admin/status", self._status)
+        router.add_get("/v1/admin/settings", self._show_settings)
+        router.add_post("/v1/admin/settings", self._edit_settings)
+        router.add_get("/v1/admin/history", self._history)
+        router.add_get("/v1/admin/keys", self._list_keys)
+        router.add_post("/v1/admin/keys", self._give_key)
+        router.add_post("/v1/admin/keys/{key}/withdrawal", self._withdraw_key)
+        router.add_post("/v1/admin/vms/{vm}/drain", self._drain)
+        router.add_post("/v1/admin/vms/{vm}/move", self._move)
+
+    @_with_role(Role.READ)
+    async def _status(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        state = self._control.state
+        return _json(
+            {
+                **self._get_status(),
+                "version": state.version,
+                "vms": msgspec.to_builtins(state.vms),
+                "teams": {
+                    name: self._describe_team(name)
+                    for name in sorted(state.limits)
+                },
+            }
+        )
+
+    def _describe_team(self, name: str) -> dict:
+        settings = self._control.state.settings
+        escrow = self._control.state.limits[name]
+        described = {
+            "upper_limit_slots": escrow.limit,
+            "allotments": escrow.targets,
+            "held": escrow.held,
+        }
+        team = settings.teams.get(name)
+        if team is not None:
+            described["share"] = team.share
+        if team is not None and team.contract is not None:
+            contract = team.contract
+            used = slots_in_units(settings, contract, escrow.limit)
+            described["contract"] = {
+                "unit": contract.unit,
+                "unit_version": contract.unit_version,
+                "limit": contract.limit,
+                "upper_limit_in_units": str(used),
+            }
+        return described
+
+    @_with_role(Role.READ)
+    async def _show_settings(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        state = self._control.state
+        return _json({"version": state.version, "settings": state.raw_settings})
+
+    @_with_role(Role.READ)
+    async def _history(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        entries = msgspec.to_builtins(list(self._control.state.audit))
+        keys = ("version", "at", "operator", "text")
+        rows = [dict(zip(keys, entry, strict=True)) for entry in entries]
+        return _json({"history": rows})
+
+    @_with_role(Role.READ)
+    async def _list_keys(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        rows = [
+            {
+                "key_id": record.key_id,
+                "team": record.team,
+                "is_withdrawn": record.is_withdrawn
+                or self._keys.is_withdrawn(record.key_id),
+            }
+            for record in self._control.state.keys.values()
+        ]
+        return _json({"keys": rows})
+
+    @_with_role(Role.ADMINISTER)
+    async def _edit_settings(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        body = await _read_json(request)
+        edits = tuple(
+            Edit(
+                tuple(str(part) for part in edit["path"]),
+                edit.get("value"),
+                bool(edit.get("is_removed", False)),
+            )
+            for edit in body["edits"]
+        )
+        return await self._propose(request, operator, EditSettings(edits))
+
+    @_with_role(Role.ADMINISTER)
+    async def _give_key(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        body = await _read_json(request)
+        command = msgspec.convert(
+            [
+                GiveKey.__struct_config__.tag,
+                body["key_id"],
+                body["team"],
+                body["digest"],
+            ],
+            GiveKey,
+        )
+        return await self._propose(request, operator, command)
+
+    @_with_role(Role.OPERATE)
+    async def _withdraw_key(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        key_id = KeyId(request.match_info["key"])
+        # In force here at once and elsewhere over the links, without waiting
+        # for a majority; the log orders it afterwards.
+        self._keys.withdraw([key_id])
+        return await self._propose(request, operator, WithdrawKey(key_id))
+
+    @_with_role(Role.OPERATE)
+    async def _drain(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        body = await _read_json(request)
+        command = StartDrain(
+            request.match_info["vm"], str(body.get("reason", "operator"))
+        )
+        return await self._propose(request, operator, command)
+
+    @_with_role(Role.OPERATE)
+    async def _move(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        body = await _read_json(request)
+        command = MoveVm(
+            request.match_info["vm"],
+            str(body["from_pool"]),
+            str(body["to_pool"]),
+        )
+        return await self._propose(request, operator, command)
+
+    async def _propose(
+        self, request: web.Request, operator: OperatorId, command
+    ) -> web.Response:
+        change_id = request.headers.get("Galenarill-Change-Id")
+        based_on = request.headers.get("If-Match", "-1").strip('"')
+        outcome = await self._control.propose(
+            command,
+            operator,
+            ChangeId(change_id or secrets.token_hex(12)),
+            int(based_on),
+        )
+        return _outcome_response(outcome)
+
+
+def _outcome_response(outcome: Outcome) -> web.Response:
+    body = {
+        "outcome": outcome.code.value,
+        "version": outcome.version,
+        "detail": outcome.detail,
+        "faults": [
+            {"path": path, "text": text} for path, text in outcome.faults
+        ],
+    }
+    return _json(body, OUTCOME_STATUS[outcome.code])
+
+
+def _json(body, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status, body=_encode(body), content_type="application/json"
+    )
+
+
+async def _read_json(request: web.Request) -> dict:
+    text = await request.text()
+    body = json.loads(text or "{}", parse_float=Decimal)
+    if not isinstance(body, dict):
+        raise ValueError("the body must be an object")
+    return body
--- /dev/null
+++ b/galenarill/entry/claims.py
@@ -0,0 +1,129 @@
+"""Claims on request ids, driven by the loop."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+
+from galenarill.claims import (
+    CLAIM_RETENTION_SECONDS,
+    AbandonClaim,
+    Claim,
+    ClaimRecord,
+    ClaimReply,
+    ClaimResult,
+    ClaimRound,
+    ClaimTable,
+    TableReply,
+    TableRequest,
+    claim_group,
+)
+from galenarill.settings import ProcessSettings
+from galenarill.world import RequestId, VmId
+
+__all__ = ["Claims"]
+
+CLAIM_SECONDS = 1.0
+TABLE_SECONDS = 1.0
+
+
+class Claims:
+    """Gets claims for this VM's requests, and keeps those of others."""
+
+    def __init__(self, settings: ProcessSettings, send: Callable):
+        """Make the claims of a process that has just started."""
+        self._loop = asyncio.get_running_loop()
+        self._vm = VmId(settings.vm)
+        self._zones = settings.zones
+        self._send_to_peer = send
+        now = self._loop.time()
+        self._table = ClaimTable(self._vm, self._zones, now, time.time())
+        self._rounds: dict[str, tuple[ClaimRound, asyncio.Future]] = {}
+        self._table_deadline = now
+
+    @property
+    def table(self) -> ClaimTable:
+        """Claims kept here."""
+        return self._table
+
+    async def claim(
+        self, request: RequestId, deadline: float
+    ) -> tuple[ClaimResult, VmId | str, str]:
+        """Ask for the right to run `request`.
+
+        Args:
+            request: Id of the request.
+            deadline: Time after which it will not run any more.
+
+        Returns:
+            The result, the owner if another entry VM has the claim, and the
+            token with which to abandon a claim that was won.
+        """
+        token = f"{self._vm}.{secrets.token_hex(6)}"
+        group = claim_group(request, self._zones)
+        round_ = ClaimRound(request, token, group)
+        future = self._loop.create_future()
+        self._rounds[token] = (round_, future)
+        lifetime = deadline - self._loop.time() + CLAIM_RETENTION_SECONDS
+        record = ClaimRecord(request, self._vm, token, lifetime)
+        try:
+            for vm in group:
+                self._send(vm, Claim(record))
+            async with asyncio.timeout(CLAIM_SECONDS):
+                await future
+        except TimeoutError:
+            pass
+        finally:
+            del self._rounds[token]
+            # Also on cancellation: whoever did not win never starts.
+            if round_.result is not ClaimResult.WON:
+                self.abandon(request, token)
+        result = round_.result
+        if result is ClaimResult.PENDING:
+            taken = ClaimResult.TAKEN if round_.owner else None
+            result = taken or ClaimResult.UNAVAILABLE
+        return result, round_.owner, token
+
+    def abandon(self, request: RequestId, token: str) -> None:
+        """Give up the claim on a request that has not run, nor will."""
+        for vm in claim_group(request, self._zones):
+            self._send(vm, AbandonClaim(request, token))
+
+    def receive(self, sender: VmId, message) -> None:
+        """Take in a message about claims."""
+        now = self._loop.time()
+        match message:
+            case Claim():
+                self._send(sender, self._table.claim(message, now))
+            case ClaimReply():
+                self._receive_reply(sender, message)
+            case AbandonClaim():
+                self._table.abandon(message)
+            case TableRequest():
+                self._send(sender, self._table.reply_to(sender, now))
+            case TableReply():
+                self._table.merge(sender, message, now)
+
+    def tick(self) -> None:
+        """Expire claims, and ask for those forgotten in a restart."""
+        now = self._loop.time()
+        self._table.expire(now)
+        if now >= self._table_deadline and self._table.missing:
+            self._table_deadline = now + TABLE_SECONDS
+            for vm in sorted(self._table.missing):
+                self._send(vm, TableRequest())
+
+    def _send(self, peer: VmId, message) -> None:
+        if peer == self._vm:
+            self.receive(peer, message)
+        else:
+            self._send_to_peer(peer, message)
+
+    def _receive_reply(self, sender: VmId, message: ClaimReply) -> None:
+        known = self._rounds.get(message.token)
+        if known is None:
+            return
+        round_, future = known
+        round_.receive(sender, message)
+        if round_.result is not ClaimResult.PENDING and not future.done():
+            future.set_result(None)
--- /dev/null
+++ b/galenarill/entry/connections.py
@@ -0,0 +1,67 @@
+"""Connections to backend servers, one for each permit."""
+
+import asyncio
+
+import aiohttp
+
+from galenarill.world import PermitId
+
+__all__ = ["PermitConnections"]
+
+CONNECT_SECONDS = 2.0
+READ_BUFFER_BYTES = 64 * 1024
+# Longest silence of a backend server in the middle of an answer.
+ANSWER_SILENCE_SECONDS = 60.0
+
+
+class PermitConnections:
+    """One HTTP connection for each permit held.
+
+    A connection lives as long as its permit, so all entry VMs together never
+    open more connections to a backend server than it has slots.
+    """
+
+    def __init__(self):
+        """Make an empty set of connections."""
+        self._sessions: dict[PermitId, aiohttp.ClientSession] = {}
+        self._cookies = aiohttp.DummyCookieJar()
+        self._timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_SECONDS,
+            sock_read=ANSWER_SILENCE_SECONDS,
+        )
+        self._closing: set[asyncio.Task] = set()
+
+    def get(self, permit_id: PermitId) -> aiohttp.ClientSession:
+        """Return the session of a permit, which opens one connection."""
+        session = self._sessions.get(permit_id)
+        if session is None:
+            session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=1, use_dns_cache=False, keepalive_timeout=30.0
+                ),
+                cookie_jar=self._cookies,
+                timeout=self._timeout,
+                auto_decompress=False,
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+                read_bufsize=READ_BUFFER_BYTES,
+            )
+            # aiohttp repeats a GET or PUT by itself when a kept connection
+            # breaks. Whether a request may be sent twice is decided here.
+            session._retry_connection = False
+            self._sessions[permit_id] = session
+        return session
+
+    def close(self, permit_id: PermitId) -> None:
+        """Close the connection of a permit that goes back."""
+        session = self._sessions.pop(permit_id, None)
+        if session is not None:
+            task = asyncio.create_task(session.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+
+    async def close_all(self) -> None:
+        """Close every connection."""
+        for permit_id in list(self._sessions):
+            self.close(permit_id)
+        await asyncio.gather(*self._closing, return_exceptions=True)
--- /dev/null
+++ b/galenarill/entry/execution.py
@@ -0,0 +1,337 @@
+"""Running one caller's request on backend servers."""
+
+import abc
+import asyncio
+import dataclasses
+import enum
+import logging
+import time
+from collections.abc import AsyncIterator
+
+import aiohttp
+import yarl
+
+from galenarill.entry.connections import PermitConnections
+from galenarill.entry.problems import RunState
+from galenarill.entry.slots import Slots
+from galenarill.errors import RequestRefusedError
+from galenarill.scheduling import RetryBudget, Start
+from galenarill.world import PoolId, QueueId, RequestId, TeamId, VmId
+
+__all__ = [
+    "Execution",
+    "RequestSpec",
+    "RequestBody",
+    "AnswerSink",
+    "RunError",
+    "CallerGoneError",
+    "HOP_BY_HOP_HEADERS",
+]
+
+MAX_SERVERS_PER_REQUEST = 3
+BODY_SILENCE_SECONDS = 20.0
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+logger = logging.getLogger(__name__)
+
+
+class RunError(Exception):
+    """A request that has no answer.
+
+    Attributes:
+        status: HTTP status for the caller.
+        kind: Name of the problem.
+        run: What is known of whether it ran.
+    """
+
+    def __init__(self, status: int, kind: str, detail: str, run: RunState):
+        """Store what the caller is told."""
+        super().__init__(detail)
+        self.status = status
+        self.kind = kind
+        self.run = run
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
+class RequestBody:
+    """Body of a request, kept if it is small and streamed once if not."""
+
+    def __init__(self, kept: bytes, rest: aiohttp.StreamReader | None):
+        """Make a body of `kept` bytes that `rest` may follow."""
+        self._kept = kept
+        self._rest = rest
+        self._is_consumed = False
+
+    @property
+    def can_repeat(self) -> bool:
+        """Whether the body can be sent (again) from its start."""
+        return self._rest is None or not self._is_consumed
+
+    def data(self) -> bytes | AsyncIterator[bytes] | None:
+        """Return the body for the HTTP client."""
+        if self._rest is None:
+            return self._kept or None
+        return self._stream()
+
+    async def _stream(self) -> AsyncIterator[bytes]:
+        self._is_consumed = True
+        yield self._kept
+        while True:
+            async with asyncio.timeout(BODY_SILENCE_SECONDS):
+                chunk = await self._rest.readany()
+            if not chunk:
+                return
+            yield chunk
+
+
+@dataclasses.dataclass(slots=True)
+class RequestSpec:
+    """A caller's request.
+
+    Attributes:
+        request: Request id.
+        team: Team that it runs for.
+        queue: Queue that it was submitted to.
+        pool: Pool of the queue.
+        method: HTTP method.
+        path: Path and query for the backend server.
+        headers: Headers for the backend server.
+        body: Body.
+        deadline: Time by which the answer must have begun.
+        is_idempotent: Whether it may run more than once.
+        claim_token: Token of the claim on the request id, or "".
+    """
+
+    request: RequestId
+    team: TeamId
+    queue: QueueId
+    pool: PoolId
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: RequestBody
+    deadline: float
+    is_idempotent: bool
+    claim_token: str = ""
+
+
+class AnswerSink(abc.ABC):
+    """Receiver of an answer.
+
+    Each method raises `CallerGoneError` when nobody listens any more.
+    """
+
+    @abc.abstractmethod
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Take the head of the answer."""
+
+    @abc.abstractmethod
+    async def write(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+
+    @abc.abstractmethod
+    async def finish(self) -> None:
+        """Note that the answer is complete."""
+
+    @abc.abstractmethod
+    async def abort(self) -> None:
+        """Note that the rest of the answer is lost."""
+
+
+class _AttemptResult(enum.Enum):
+    ANSWERED = enum.auto()
+    NOT_SENT = enum.auto()
+    FAILED = enum.auto()
+
+
+class Execution:
+    """Runs requests: slot, attempt, retry where it is allowed."""
+
+    def __init__(self, slots: Slots, connections: PermitConnections):
+        """Make an execution over this VM's slots."""
+        self._slots = slots
+        self._connections = connections
+        self._budgets: dict[TeamId, RetryBudget] = {}
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self, spec: RequestSpec, sink: AnswerSink) -> None:
+        """Run a request to its answer.
+
+        Args:
+            spec: The request.
+            sink: Receives the answer.
+
+        Raises:
+            RequestRefusedError: If it did not run and will not.
+            RunError: If it has no answer and may have run.
+        """
+        budget = self._budgets.setdefault(spec.team, RetryBudget())
+        budget.earn()
+        failed_on: set[VmId] = set()
+        may_have_run = False
+        while True:
+            try:
+                start = await self._slots.acquire(
+                    spec.request,
+                    spec.pool,
+                    spec.team,
+                    spec.deadline,
+                    frozenset(failed_on),
+                )
+            except RequestRefusedError as error:
+                if may_have_run:
+                    raise _unknown(str(error)) from error
+                raise
+            is_last = len(failed_on) + 1 >= MAX_SERVERS_PER_REQUEST
+            may_retry = spec.is_idempotent and not is_last
+            result = await self._attempt(spec, sink, start, may_retry, budget)
+            if result is _AttemptResult.ANSWERED:
+                return
+            failed_on.add(start.permit.server)
+            if result is _AttemptResult.FAILED:
+                may_have_run = True
+            self._check_retry(spec, result, is_last, may_have_run, budget)
+
+    def _check_retry(
+        self,
+        spec: RequestSpec,
+        result: _AttemptResult,
+        is_last: bool,
+        may_have_run: bool,
+        budget: RetryBudget,
+    ) -> None:
+        """Raise unless the request may go to another backend server."""
+        if result is _AttemptResult.FAILED:
+            if not spec.is_idempotent:
+                raise _unknown("the backend server failed while it ran")
+            if not spec.body.can_repeat:
+                raise _unknown("the body is too large to be sent again")
+            if not budget.spend():
+                raise _unknown("the retry budget is spent")
+        if is_last:
+            detail = f"failed on {MAX_SERVERS_PER_REQUEST} backend servers"
+            if may_have_run:
+                raise _unknown(detail)
+            raise RequestRefusedError("servers-unreachable", detail)
+
+    async def _attempt(
+        self,
+        spec: RequestSpec,
+        sink: AnswerSink,
+        start: Start,
+        may_retry: bool,
+        budget: RetryBudget,
+    ) -> _AttemptResult:
+        permit = start.permit
+        session = self._connections.get(permit.permit_id)
+        began_at = time.monotonic()
+        is_released = False
+
+        def release(**outcome) -> None:
+            nonlocal is_released
+            is_released = True
+            self._slots.release(permit.permit_id, **outcome)
+
+        status = 0
+        has_begun = False
+        try:
+            async with asyncio.timeout_at(spec.deadline) as timer:
+                response = await session.request(
+                    spec.method,
+                    yarl.URL(
+                        f"http://{permit.address}{spec.path}", encoded=True
+                    ),
+                    headers=[*spec.headers, *_own_headers(spec, start)],
+                    data=spec.body.data(),
+                    allow_redirects=False,
+                )
+                timer.reschedule(None)
+            status = response.status
+            is_failure = status >= 500
+            if (
+                is_failure
+                and may_retry
+                and spec.body.can_repeat
+                and (budget.saved >= 1)
+            ):
+                await response.read()
+                release(failed=True)
+                return _AttemptResult.FAILED
+            await sink.begin(status, _answer_headers(response))
+            has_begun = True
+            async for chunk in response.content.iter_any():
+                await sink.write(chunk)
+            release(failed=is_failure)
+            await sink.finish()
+            return _AttemptResult.ANSWERED
+        except aiohttp.ClientConnectorError:
+            release(failed=True)
+            return _AttemptResult.NOT_SENT
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            release(failed=True, running=start.attempt)
+            status = status or -1
+            if has_begun:
+                await sink.abort()
+                return _AttemptResult.ANSWERED
+            if self._loop.time() >= spec.deadline:
+                raise _unknown("no answer before the deadline", 504) from error
+            return _AttemptResult.FAILED
+        finally:
+            if not is_released:
+                # The caller has gone; the backend server may go on.
+                self._slots.release(permit.permit_id, running=start.attempt)
+            _log_attempt(spec, start, status, time.monotonic() - began_at)
+
+
+def _unknown(detail: str, status: int = 502) -> RunError:
+    return RunError(status, "outcome-unknown", detail, RunState.UNKNOWN)
+
+
+def _own_headers(spec: RequestSpec, start: Start) -> list[tuple[str, str]]:
+    return [
+        ("Galenarill-Request-Id", spec.request),
+        ("Galenarill-Attempt-Id", start.attempt),
+        ("Galenarill-Team", spec.team),
+    ]
+
+
+def _answer_headers(
+    response: aiohttp.ClientResponse,
+) -> list[tuple[str, str]]:
+    return [
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in HOP_BY_HOP_HEADERS
+    ]
+
+
+def _log_attempt(
+    spec: RequestSpec, start: Start, status: int, seconds: float
+) -> None:
+    logger.info(
+        "routed",
+        extra={
+            "request": spec.request,
+            "team": spec.team,
+            "queue": spec.queue,
+            "server": start.permit.server,
+            "attempt": start.attempt,
+            "reason": start.permit.reason,
+            "status": status,
+            "seconds": round(seconds, 4),
+        },
+    )
--- /dev/null
+++ b/galenarill/entry/node.py
@@ -0,0 +1,357 @@
+"""One entry VM: all its parts, and the messages between them."""
+
+import asyncio
+import contextlib
+import logging
+import pathlib
+import resource
+import signal
+import time
+
+from aiohttp import web
+
+from galenarill.claims import messages as claim_messages
+from galenarill.consensus import messages as log_messages
+from galenarill.entry.admin import AdminInterface
+from galenarill.entry.callers import CallerInterface
+from galenarill.entry.claims import Claims
+from galenarill.entry.connections import PermitConnections
+from galenarill.entry.control import open_control_path
+from galenarill.entry.execution import Execution
+from galenarill.entry.keyring import KeyRing
+from galenarill.entry.logs import LogBuffer
+from galenarill.entry.metrics import Metrics
+from galenarill.entry.operators import load_operators
+from galenarill.entry.policy import FleetPolicy
+from galenarill.entry.servers import ServerInterface
+from galenarill.entry.slots import Slots
+from galenarill.entry.watch import ZoneWatch
+from galenarill.links import Mesh
+from galenarill.maintenance import HttpPlatform, MaintenanceDriver
+from galenarill.membership import messages as membership_messages
+from galenarill.scheduling import messages as slot_messages
+from galenarill.settings import ProcessSettings
+from galenarill.state import messages as state_messages
+from galenarill.world import AvailabilityZoneId, VmId
+
+__all__ = ["EntryNode", "serve"]
+
+TICK_SECONDS = 0.05
+HEARTBEAT_SECONDS = 1.0
+LOG_FLUSH_SECONDS = 0.5
+# Time for which a leaving VM serves on, so that the balancer and the peers
+# stop sending before it stops listening.
+LEAVE_SECONDS = 3.0
+# aiohttp's bound on the time that open requests get; they have deadlines.
+SHUTDOWN_SECONDS = 900.0
+
+logger = logging.getLogger(__name__)
+
+
+class EntryNode:
+    """One entry VM's process."""
+
+    def __init__(self, settings: ProcessSettings, log_buffer: LogBuffer):
+        """Make all parts; see `run`.
+
+        Args:
+            settings: Settings of this process.
+            log_buffer: Log lines to flush now and then.
+
+        Raises:
+            JournalError: If the disk cannot be used.
+            SettingsError: If a file that the settings name cannot.
+        """
+        self._settings = settings
+        self._log_buffer = log_buffer
+        self._loop = asyncio.get_running_loop()
+        self._vm = VmId(settings.vm)
+        self._is_leaving = False
+        self._started_at = time.monotonic()
+        az = AvailabilityZoneId(settings.own.availability_zone)
+        secret = pathlib.Path(settings.link_secret_file).read_bytes().strip()
+        self._mesh = Mesh(
+            self._vm,
+            settings.own.links,
+            {
+                VmId(peer.id): peer.links
+                for peer in settings.entry_vms
+                if peer.id != settings.vm
+            },
+            secret,
+            self._on_message,
+            self._on_link,
+        )
+        self._control = open_control_path(
+            settings, self._mesh.send, self._on_applied
+        )
+        self._keys = KeyRing(
+            settings,
+            self._mesh.send,
+            lambda: self._control.state,
+            lambda: self._control.is_current,
+        )
+        self._connections = PermitConnections()
+        self._slots = Slots(
+            settings,
+            FleetPolicy(az, lambda: self._control.state),
+            self._mesh.send,
+            self._confirmed_version,
+            self._connections.close,
+        )
+        self._claims = Claims(settings, self._mesh.send)
+        self._callers = CallerInterface(
+            settings,
+            lambda: self._control.state,
+            self._keys,
+            self._claims,
+            self._slots,
+            Execution(self._slots, self._connections),
+        )
+        self._watch = ZoneWatch(self._vm, az, self._control, self._slots)
+        self._receivers = self._message_receivers()
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until `stop` is set, then shut down gracefully."""
+        runner = web.AppRunner(
+            self._make_app(),
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        await self._mesh.start()
+        await runner.setup()
+        host, _, port = self._settings.own.callers.rpartition(":")
+        site = web.TCPSite(
+            runner, host, int(port), reuse_address=True, backlog=1024
+        )
+        await site.start()
+        tasks = [
+            asyncio.create_task(coroutine)
+            for coroutine in (
+                self._tick_forever(),
+                self._send_heartbeats(),
+                self._flush_logs(),
+                self._watch.run(),
+                self._drive_maintenance(),
+            )
+        ]
+        logger.info("started", extra={"listen": self._settings.own.callers})
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait(
+            [*tasks, stopping], return_when=asyncio.FIRST_COMPLETED
+        )
+        failed = [task for task in tasks if task.done()]
+        if not failed:
+            await self._leave(site)
+        await runner.cleanup()
+        await self._connections.close_all()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._mesh.stop()
+        logger.info("stopped")
+        self._log_buffer.flush()
+        for task in failed:
+            task.result()
+
+    async def _leave(self, site: web.TCPSite) -> None:
+        """Finish what is in progress, with nothing new coming in."""
+        logger.info("leaving", extra={"requests": self._callers.requests})
+        self._is_leaving = True
+        self._callers.leave()
+        self._slots.leave()
+        self._heartbeat_all()
+        await asyncio.sleep(LEAVE_SECONDS)
+        await site.stop()
+        await self._callers.wait_idle()
+
+    def _make_app(self) -> web.Application:
+        settings = self._settings
+        app = web.Application()
+        self._callers.add_routes(app)
+        ServerInterface(
+            lambda: self._control.state, self._slots, settings.server_secret
+        ).add_routes(app)
+        operators = load_operators(pathlib.Path(settings.operators_file))
+        AdminInterface(
+            self._control, self._keys, operators, self._describe
+        ).add_routes(app)
+        Metrics(self._gauges()).add_routes(app)
+        app.router.add_get("/livez", self._livez)
+        app.router.add_get("/readyz", self._readyz)
+        return app
+
+    async def _livez(self, request: web.Request) -> web.Response:
+        return web.Response(text="alive\n")
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        """Tell the balancer whether to send callers here."""
+        reasons = []
+        if self._is_leaving:
+            reasons.append("leaving")
+        if not self._keys.is_fresh():
+            reasons.append("keys are not fresh")
+        if not self._slots.schedulers:
+            reasons.append("no scheduler is known")
+        if reasons:
+            return web.Response(status=503, text="; ".join(reasons) + "\n")
+        return web.Response(text="ready\n")
+
+    def _message_receivers(self) -> dict[type, object]:
+        receivers: dict[type, object] = {}
+        for module, receive in (
+            (log_messages, self._control.receive),
+            (slot_messages, self._slots.receive),
+            (claim_messages, self._claims.receive),
+            (membership_messages, self._receive_membership),
+        ):
+            for name in module.__all__:
+                receivers[getattr(module, name)] = receive
+        receivers[state_messages.Propose] = self._control.receive_proposal
+        receivers[state_messages.Proposed] = lambda _, message: (
+            self._control.receive_outcome(message)
+        )
+        return receivers
+
+    def _on_message(self, peer: VmId, message) -> None:
+        self._receivers[type(message)](peer, message)
+
+    def _on_link(self, peer: VmId, is_up: bool) -> None:
+        logger.info("link", extra={"peer": peer, "up": is_up})
+        self._slots.set_peer(peer, is_up)
+        if is_up:
+            self._send_heartbeat(peer)
+
+    def _receive_membership(self, peer: VmId, message) -> None:
+        if isinstance(message, membership_messages.Heartbeat):
+            self._slots.set_epoch(peer, message.epoch)
+        self._keys.receive(peer, message)
+
+    def _on_applied(self) -> None:
+        self._keys.state_changed()
+        self._slots.policy_changed()
+
+    def _confirmed_version(self) -> int:
+        if not self._control.is_current:
+            return -1
+        return self._control.state.version
+
+    async def _tick_forever(self) -> None:
+        epoch = ""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self._control.tick()
+            self._slots.tick()
+            self._claims.tick()
+            if self._slots.scheduling_epoch != epoch:
+                epoch = self._slots.scheduling_epoch
+                self._heartbeat_all()
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            self._heartbeat_all()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    def _heartbeat_all(self) -> None:
+        for peer in self._mesh.connected:
+            self._send_heartbeat(peer)
+
+    def _send_heartbeat(self, peer: VmId) -> None:
+        epoch = self._slots.scheduling_epoch
+        message = self._keys.heartbeat(peer, epoch, self._is_leaving)
+        self._mesh.send(peer, message)
+
+    async def _flush_logs(self) -> None:
+        while True:
+            await asyncio.sleep(LOG_FLUSH_SECONDS)
+            self._log_buffer.flush()
+
+    async def _drive_maintenance(self) -> None:
+        if not self._settings.platform:
+            await asyncio.Event().wait()
+        platform = HttpPlatform(self._settings.platform)
+        async with contextlib.aclosing(platform):
+            await MaintenanceDriver(self._vm, self._control, platform).run()
+
+    def _gauges(self) -> dict:
+        counters = self._mesh.counters
+        holder = self._slots.holder
+        return {
+            "requests": lambda: self._callers.requests,
+            "waiting": lambda: holder.waiting,
+            "permits": lambda: len(holder.permits),
+            "claims": lambda: len(self._claims.table),
+            "version": lambda: self._control.state.version,
+            "links": lambda: len(self._mesh.connected),
+            "link_sent_bytes": lambda: counters.sent_bytes,
+            "link_received_bytes": lambda: counters.received_bytes,
+            "link_sent_messages": lambda: counters.sent_messages,
+            "link_received_messages": lambda: counters.received_messages,
+            "cpu_seconds": time.process_time,
+            "memory_peak_kib": _peak_memory_kib,
+        }
+
+    def _describe(self) -> dict:
+        """Return what this VM tells operators of itself."""
+        scheduler = self._slots.scheduler
+        servers = scheduler.servers.values() if scheduler else ()
+        return {
+            "vm": self._vm,
+            "availability_zone": self._settings.own.availability_zone,
+            "uptime_seconds": round(time.monotonic() - self._started_at, 1),
+            "is_leaving": self._is_leaving,
+            "is_fresh": self._keys.is_fresh(),
+            "withdrawn_digest": self._keys.digest,
+            "log_role": self._control.replica.role.value,
+            "log_leader": self._control.replica.leader,
+            "links": self._mesh.connected,
+            "entry_vms": [
+                {
+                    "id": peer.id,
+                    "availability_zone": peer.availability_zone,
+                    "callers": peer.callers,
+                }
+                for peer in self._settings.entry_vms
+            ],
+            "schedulers": {
+                zone: vm for zone, (vm, _) in self._slots.schedulers.items()
+            },
+            "requests": self._callers.requests,
+            "waiting": self._slots.holder.waiting,
+            "backend_servers": [
+                {
+                    "vm": server.vm,
+                    "pool": server.pool,
+                    "slots": server.slots,
+                    "used": server.used,
+                    "orphans": len(server.orphans),
+                    "is_leaving": server.is_leaving,
+                    "is_usable": server.is_known and not server.is_leaving,
+                }
+                for server in servers
+            ],
+            "running": {
+                team: scheduler.running(team)
+                for team in self._control.state.limits
+                if scheduler
+            },
+        }
+
+
+async def serve(settings: ProcessSettings, log_buffer: LogBuffer) -> None:
+    """Run one entry VM until it gets SIGTERM or SIGINT.
+
+    Args:
+        settings: Settings of this process.
+        log_buffer: Log lines to flush now and then.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await EntryNode(settings, log_buffer).run(stop)
+
+
+def _peak_memory_kib() -> int:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
--- /dev/null
+++ b/galenarill/entry/operators.py
@@ -0,0 +1,88 @@
+"""Operators' credentials and roles."""
+
+import enum
+import pathlib
+import tomllib
+
+import cattrs
+
+from galenarill.errors import AuthenticationError, Finding, SettingsError
+from galenarill.world import OperatorId, secret_matches, split_key
+
+__all__ = ["Role", "Operators", "load_operators"]
+
+
+class Role(enum.IntEnum):
+    """What an operator may do; each role includes those below it."""
+
+    READ = 1
+    OPERATE = 2
+    ADMINISTER = 3
+
+
+class Operators:
+    """Operators by key id."""
+
+    def __init__(self, by_key: dict[str, tuple[OperatorId, Role, str]]):
+        """Wrap operators; see `load_operators`."""
+        self._by_key = by_key
+
+    def authenticate(self, text: str | None, role: Role) -> OperatorId:
+        """Return the operator who presents `text`.
+
+        Args:
+            text: Value of the `Authorization` header, or None.
+            role: Role that is needed.
+
+        Returns:
+            The operator.
+
+        Raises:
+            AuthenticationError: If the credential is not valid.
+            PermissionError: If the operator's role does not suffice.
+        """
+        scheme, _, presented = (text or "").partition(" ")
+        parts = split_key(presented.strip())
+        if scheme.lower() != "bearer" or parts is None:
+            raise AuthenticationError("no operator credential was presented")
+        name, own_role, digest = self._by_key.get(
+            parts[0], (OperatorId(""), Role.READ, "0" * 64)
+        )
+        if not secret_matches(parts[1], digest):
+            raise AuthenticationError("the operator credential is not valid")
+        if own_role < role:
+            raise PermissionError(
+                f"{name} has role {own_role.name.lower()}, not "
+                f"{role.name.lower()}"
+            )
+        return name
+
+
+def load_operators(file: pathlib.Path) -> Operators:
+    """Read the operators' file.
+
+    Args:
+        file: TOML file with a table `operators.NAME` for each operator, with
+            `role`, `key_id` and `digest`.
+
+    Returns:
+        The operators.
+
+    Raises:
+        SettingsError: If the file is not as described.
+    """
+    try:
+        raw = tomllib.loads(file.read_text(encoding="utf-8"))
+        tables = cattrs.structure(raw["operators"], dict[str, dict[str, str]])
+        by_key = {
+            table["key_id"]: (
+                OperatorId(name),
+                Role[table["role"].upper()],
+                table["digest"],
+            )
+            for name, table in tables.items()
+        }
+    except (OSError, ValueError, KeyError, cattrs.BaseValidationError) as error:
+        finding = Finding(str(file), 0, "operators", f"not valid: {error!r}")
+        raise SettingsError(finding) from error
+    return Operators(by_key)
--- /dev/null
+++ b/galenarill/entry/policy.py
@@ -0,0 +1,50 @@
+"""The replicated state as a zone's scheduler reads it."""
+
+from collections.abc import Callable
+
+from galenarill.scheduling import SchedulingPolicy
+from galenarill.state import FleetState, VmState
+from galenarill.world import AvailabilityZoneId, PoolId, TeamId, VmId
+
+__all__ = ["FleetPolicy", "OPEN_TEAM"]
+
+# Team of requests on queues that are open to all.
+OPEN_TEAM = TeamId("")
+OPEN_WEIGHT = 1.0
+NO_LIMIT = 1 << 30
+
+
+class FleetPolicy(SchedulingPolicy):
+    """Limits, shares and pool membership as of the latest version."""
+
+    def __init__(
+        self, az: AvailabilityZoneId, get_state: Callable[[], FleetState]
+    ):
+        """Make the policy of one zone."""
+        self._az = az
+        self._get_state = get_state
+
+    def allotment(self, team: TeamId) -> int:
+        """Return how many slots `team` may use in this zone."""
+        if team == OPEN_TEAM:
+            return NO_LIMIT
+        escrow = self._get_state().limits.get(team)
+        return escrow.targets.get(self._az, 0) if escrow else 0
+
+    def weight(self, team: TeamId) -> float:
+        """Return the share of `team`."""
+        settings = self._get_state().settings.teams.get(team)
+        return float(settings.share) if settings else OPEN_WEIGHT
+
+    def refusal(self, server: VmId, pool: PoolId) -> str:
+        """Return why `server` may not serve `pool`, or "" if it may."""
+        vm = self._get_state().vms.get(server)
+        if vm is None:
+            return f"VM {server} is not in the settings"
+        if vm.pool != pool:
+            return f"VM {server} belongs to pool {vm.pool}, not {pool}"
+        if vm.availability_zone != self._az:
+            return f"VM {server} is in zone {vm.availability_zone}"
+        if vm.state in (VmState.DRAINING, VmState.MAINTAINED):
+            return f"VM {server} is {vm.state.value}"
+        return ""
--- /dev/null
+++ b/galenarill/entry/relay.py
@@ -0,0 +1,53 @@
+"""Fetching a kept answer from another entry VM."""
+
+import aiohttp
+from aiohttp import web
+
+from galenarill.world import RequestId
+
+__all__ = ["relay_answer"]
+
+RELAY_SECONDS = 620.0
+CONNECT_SECONDS = 1.0
+CHUNK_BYTES = 64 * 1024
+
+
+async def relay_answer(
+    request: web.Request, address: str, request_id: RequestId
+) -> web.StreamResponse | None:
+    """Pass on the answer that another entry VM keeps.
+
+    Args:
+        request: Request of the caller, whose key is shown to the other VM.
+        address: `host:port` of the other VM.
+        request_id: Id whose answer is wanted.
+
+    Returns:
+        The answer, or None if it is not there or the VM cannot be reached.
+    """
+    headers = {"Galenarill-Relayed": "true"}
+    for name in ("Authorization", "Galenarill-Timeout-Seconds"):
+        if name in request.headers:
+            headers[name] = request.headers[name]
+    timeout = aiohttp.ClientTimeout(
+        total=RELAY_SECONDS, sock_connect=CONNECT_SECONDS
+    )
+    try:
+        async with (
+            aiohttp.ClientSession(
+                timeout=timeout, auto_decompress=False
+            ) as session,
+            session.get(
+                f"http://{address}/v1/requests/{request_id}", headers=headers
+            ) as answer,
+        ):
+            if answer.status == 404:
+                return None
+            body = await answer.read()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return None
+    response = web.Response(status=answer.status, body=body)
+    for name, value in answer.headers.items():
+        if name.lower() not in ("content-length", "transfer-encoding", "date"):
+            response.headers[name] = value
+    return response
--- /dev/null
+++ b/galenarill/entry/servers.py
@@ -0,0 +1,123 @@
+"""HTTP interface for backend servers."""
+
+import hmac
+import json
+import logging
+
+import msgspec
+from aiohttp import web
+
+from galenarill.entry.problems import problem
+from galenarill.entry.slots import Slots
+from galenarill.scheduling.messages import ServerReport
+from galenarill.world import AttemptId, AvailabilityZoneId, PoolId, VmId
+
+__all__ = ["ServerInterface", "Announcement", "RENEW_SECONDS"]
+
+# Time after which a backend server announces itself again.
+RENEW_SECONDS = 1.0
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+
+logger = logging.getLogger(__name__)
+
+
+class Announcement(msgspec.Struct, forbid_unknown_fields=True):
+    """What a backend server says of itself.
+
+    Attributes:
+        pool: Pool that it serves.
+        address: `host:port` where it takes requests.
+        incarnation: Changes with each start.
+        sequence: From 1, rising with each announcement of one incarnation.
+        slots: Requests that it runs at once.
+        connections: Connections that it accepts.
+        running: Attempts that it runs.
+        leaving: Whether it departs.
+    """
+
+    pool: str
+    address: str
+    incarnation: str
+    sequence: int
+    slots: int
+    connections: int
+    running: list[str] = []
+    leaving: bool = False
+
+
+class ServerInterface:
+    """Takes the announcements of backend servers."""
+
+    def __init__(self, get_state, slots: Slots, secret: str):
+        """Make the interface of one entry VM.
+
+        Args:
+            get_state: Returns the replicated state.
+            slots: Slots of this VM.
+            secret: Secret that backend servers present, or "" for none.
+        """
+        self._get_state = get_state
+        self._slots = slots
+        self._secret = secret
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the backend servers' endpoints to `app`."""
+        app.router.add_post("/v1/backend-servers/{vm}", self._announce)
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        expected = f"Bearer {self._secret}"
+        presented = request.headers.get("Authorization", "")
+        if self._secret and not hmac.compare_digest(
+            presented.encode(), expected.encode()
+        ):
+            return problem(401, "key-invalid", "the secret is not valid")
+        if (request.content_length or 0) > MAX_ANNOUNCEMENT_BYTES:
+            return problem(413, "bad-request", "the announcement is too large")
+        vm = VmId(request.match_info["vm"])
+        try:
+            data = json.loads(await request.text())
+            announcement = msgspec.convert(data, Announcement)
+            _check(announcement)
+        except ValueError as error:
+            return problem(400, "bad-request", f"not an announcement: {error}")
+        record = self._get_state().vms.get(vm)
+        if record is None:
+            detail = f"VM {vm!r} is not in the settings"
+            return problem(404, "no-vm", detail, retry_after=1)
+        report = ServerReport(
+            server=vm,
+            availability_zone=AvailabilityZoneId(record.availability_zone),
+            pool=PoolId(announcement.pool),
+            address=announcement.address,
+            incarnation=announcement.incarnation,
+            sequence=announcement.sequence,
+            slots=announcement.slots,
+            connections=announcement.connections,
+            running=tuple(AttemptId(a) for a in announcement.running),
+            leaving=announcement.leaving,
+        )
+        try:
+            reply = await self._slots.report(report)
+        except TimeoutError:
+            detail = "the scheduler of the zone does not answer"
+            return problem(503, "no-scheduler", detail, retry_after=1)
+        return web.json_response(
+            {
+                "accepted": reply.accepted,
+                "reason": reply.reason,
+                "pool": record.pool,
+                "stop": list(reply.stop),
+                "renew_after_seconds": RENEW_SECONDS,
+            }
+        )
+
+
+def _check(announcement: Announcement) -> None:
+    for name in ("sequence", "slots", "connections"):
+        value = getattr(announcement, name)
+        if value < 0:
+            raise ValueError(f"{name} must not be negative, not {value}")
+    host, _, port = announcement.address.rpartition(":")
+    if not host or not port.isdigit():
+        text = announcement.address
+        raise ValueError(f"address must be host:port, not {text!r}")
--- /dev/null
+++ b/galenarill/entry/slots.py
@@ -0,0 +1,467 @@
+"""Slots on one entry VM: lease, scheduler and permits, driven by the loop."""
+
+import asyncio
+import logging
+import random
+import secrets
+from collections.abc import Callable
+
+import msgspec
+
+from galenarill.entry.policy import FleetPolicy
+from galenarill.errors import RequestRefusedError
+from galenarill.scheduling import (
+    LeaseState,
+    PermitHolder,
+    Start,
+    WaitEstimate,
+    ZoneCandidate,
+    ZoneElector,
+    ZoneScheduler,
+    electorate,
+)
+from galenarill.scheduling import messages as m
+from galenarill.settings import ProcessSettings
+from galenarill.world import (
+    AttemptId,
+    AvailabilityZoneId,
+    PermitId,
+    PoolId,
+    RequestId,
+    TeamId,
+    VmId,
+    rendezvous_order,
+)
+
+__all__ = ["Slots"]
+
+REGISTER_SECONDS = 0.5
+# Time after its last request for which a holder keeps its sessions open.
+ACTIVE_SECONDS = 10.0
+CAMPAIGN_SECONDS = 0.3
+# Time after its start for which attempts of an earlier process may run on.
+FRESH_PROCESS_SECONDS = 5.0
+REPORT_SECONDS = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class Slots:
+    """Gets slots for this VM's requests, and schedules the zone if elected."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        policy: FleetPolicy,
+        send: Callable,
+        get_version: Callable[[], int],
+        on_gone: Callable[[PermitId], None],
+    ):
+        """Make slots without permits.
+
+        Args:
+            settings: Settings of this process.
+            policy: Limits, shares and pool membership.
+            send: Sends a message to a peer and tells whether there is a link.
+            get_version: Returns the version of the replicated state, or -1
+                while it may lag behind an earlier process of this VM.
+            on_gone: Called with each permit that goes back.
+        """
+        self._on_gone = on_gone
+        self._loop = asyncio.get_running_loop()
+        now = self._loop.time()
+        self._vm = VmId(settings.vm)
+        self._az = AvailabilityZoneId(settings.own.availability_zone)
+        self._zones = settings.zones
+        self._policy = policy
+        self._send_to_peer = send
+        self._get_version = get_version
+        self._holder = PermitHolder(self._az)
+        self._electorates = {
+            az: electorate(az, self._zones) for az in set(self._zones.values())
+        }
+        self._electors = {
+            az: ZoneElector(now)
+            for az, vms in self._electorates.items()
+            if self._vm in vms
+        }
+        self._candidate = ZoneCandidate(
+            self._az, self._vm, self._electorates[self._az]
+        )
+        self._scheduler: ZoneScheduler | None = None
+        # Entry VM that schedules each zone, and its epoch.
+        self._schedulers: dict[AvailabilityZoneId, tuple[VmId, str]] = {}
+        self._register_deadlines: dict[AvailabilityZoneId, float] = {}
+        self._campaign_deadline = now + random.uniform(0, CAMPAIGN_SECONDS)
+        self._active_deadline = 0.0
+        self._fresh_deadline = now + FRESH_PROCESS_SECONDS
+        self._live: set[VmId] = set()
+        self._futures: dict[RequestId, asyncio.Future[Start]] = {}
+        self._next_report = 0
+        self._reports: dict[int, asyncio.Future[m.ServerReportReply]] = {}
+        self._is_pump_scheduled = False
+        self._is_leaving = False
+        self._estimates: dict[tuple[PoolId, TeamId], WaitEstimate] = {}
+
+    @property
+    def holder(self) -> PermitHolder:
+        """Permits and waiting requests of this VM."""
+        return self._holder
+
+    @property
+    def scheduler(self) -> ZoneScheduler | None:
+        """The zone's scheduler while it runs here."""
+        return self._scheduler
+
+    @property
+    def scheduling_epoch(self) -> str:
+        """Epoch under which this VM schedules its zone, or ""."""
+        return self._scheduler.epoch if self._scheduler else ""
+
+    @property
+    def schedulers(self) -> dict[AvailabilityZoneId, tuple[VmId, str]]:
+        """Scheduling entry VM and epoch of each zone, as known here."""
+        return self._schedulers
+
+    async def acquire(
+        self,
+        request: RequestId,
+        pool: PoolId,
+        team: TeamId,
+        deadline: float,
+        excluded: frozenset[VmId] = frozenset(),
+    ) -> Start:
+        """Wait for a slot.
+
+        Args:
+            request: Id of the request.
+            pool: Pool whose backend servers can run it.
+            team: Team that it runs for.
+            deadline: Time until which it may start.
+            excluded: Backend servers on which it has failed.
+
+        Returns:
+            The permit to run on.
+
+        Raises:
+            RequestRefusedError: If it cannot start in time.
+        """
+        now = self._loop.time()
+        self._active_deadline = now + ACTIVE_SECONDS
+        self._refuse_hopeless(pool, team, deadline, now)
+        future = self._loop.create_future()
+        self._futures[request] = future
+        self._holder.submit(request, pool, team, deadline, now, excluded)
+        self._open_sessions(now)
+        self.pump()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                # The slot came at the same moment as the cancellation.
+                if future.exception() is None:
+                    self.release(future.result().permit.permit_id)
+            else:
+                self._holder.cancel(request)
+            raise
+        finally:
+            self._futures.pop(request, None)
+            self._schedule_pump()
+
+    def release(
+        self,
+        permit_id: PermitId,
+        *,
+        failed: bool = False,
+        running: AttemptId | None = None,
+    ) -> None:
+        """End the request on `permit_id`; see `PermitHolder.finish`."""
+        self._holder.finish(
+            permit_id, self._loop.time(), failed=failed, running=running
+        )
+        self.pump()
+
+    async def report(self, message: m.ServerReport) -> m.ServerReportReply:
+        """Pass a backend server's announcement to its zone's scheduler.
+
+        Raises:
+            TimeoutError: If the scheduler does not answer.
+        """
+        self._next_report += 1
+        call = self._next_report
+        future = self._loop.create_future()
+        self._reports[call] = future
+        try:
+            scheduler = self._schedulers.get(message.availability_zone)
+            if scheduler is None:
+                raise TimeoutError("the zone has no scheduler")
+            numbered = _with_call(message, call)
+            self._send(scheduler[0], numbered)
+            async with asyncio.timeout(REPORT_SECONDS):
+                return await future
+        finally:
+            self._reports.pop(call, None)
+
+    def receive(self, sender: VmId, message) -> None:
+        """Take in a message about slots."""
+        now = self._loop.time()
+        match message:
+            case m.Register():
+                if self._is_for_scheduler(message):
+                    self._scheduler.register(sender, message, now)
+            case m.Demand():
+                if self._is_for_scheduler(message):
+                    self._scheduler.demand(sender, message, now)
+            case m.Returned():
+                if self._is_for_scheduler(message):
+                    self._scheduler.returned(sender, message, now)
+            case m.ServerReport():
+                self._receive_report(sender, message, now)
+            case m.ServerReportReply():
+                future = self._reports.get(message.call)
+                if future is not None and not future.done():
+                    future.set_result(message)
+            case m.Registered():
+                self._holder.registered(message, now)
+            case m.Granted():
+                self._holder.add_permits(message, now)
+            case m.Recall():
+                self._holder.recall(message, now)
+            case m.LeaseRequest():
+                self._receive_lease_request(sender, message, now)
+            case m.LeaseReply():
+                self._candidate.receive(sender, message, now)
+                self._follow_lease(now)
+        self._schedule_pump()
+
+    def set_peer(self, peer: VmId, is_up: bool) -> None:
+        """Note whether a peer's link is up."""
+        zone = self._zones[peer]
+        if is_up:
+            self._live.add(peer)
+            return
+        self._live.discard(peer)
+        if self._schedulers.get(zone, ("", ""))[0] == peer:
+            self._holder.forget_session(zone)
+            self._register_deadlines[zone] = 0.0
+
+    def set_epoch(self, peer: VmId, epoch: str) -> None:
+        """Note the epoch under which a peer schedules its zone, or ""."""
+        zone = self._zones[peer]
+        known = self._schedulers.get(zone, ("", ""))
+        if epoch and known != (peer, epoch):
+            self._schedulers[zone] = (peer, epoch)
+            self._register(zone, self._loop.time())
+            self._schedule_pump()
+        elif not epoch and known[0] == peer:
+            del self._schedulers[zone]
+
+    def policy_changed(self) -> None:
+        """Apply limits, shares and pool membership that have changed."""
+        if self._scheduler is not None:
+            self._scheduler.policy_changed(self._loop.time())
+        self._schedule_pump()
+
+    def leave(self) -> None:
+        """Give up the zone's lease and do not stand for it again."""
+        self._is_leaving = True
+
+    def majority_version(self) -> int:
+        """Return the version that a majority of the electors has applied."""
+        return self._candidate.majority_version
+
+    def tick(self) -> None:
+        """Let time pass."""
+        now = self._loop.time()
+        self._tick_lease(now)
+        self._holder.tick(now)
+        if self._scheduler is not None:
+            self._scheduler.tick(now)
+        is_active = self._holder.permits or self._holder.waiting
+        if is_active or now < self._active_deadline:
+            self._open_sessions(now)
+        self.pump()
+
+    def pump(self) -> None:
+        """Carry out what the holder and the scheduler have decided."""
+        self._is_pump_scheduled = False
+        now = self._loop.time()
+        # What the holder sends to a scheduler on this VM may have an effect on
+        # the holder at once; two turns settle that.
+        for _ in range(2):
+            for permit_id in self._holder.take_gone():
+                self._on_gone(permit_id)
+            for zone, message in self._holder.take_messages(now):
+                scheduler = self._schedulers.get(zone)
+                if scheduler is not None:
+                    self._send(scheduler[0], message)
+            if self._scheduler is not None and self._may_grant(now):
+                self._scheduler.allocate(now)
+            if self._scheduler is not None:
+                for holder, batch in self._scheduler.take_messages().items():
+                    for message in batch:
+                        self._send(holder, message)
+                self._log_decisions()
+        self._deliver(now)
+
+    def _deliver(self, now: float) -> None:
+        for start in self._holder.take_starts():
+            pair = (start.permit.pool, start.permit.team)
+            self._estimates[pair].count_start(now)
+            future = self._futures.get(start.request)
+            if future is None or future.done():
+                self._holder.finish(start.permit.permit_id, now)
+                self._schedule_pump()
+            else:
+                future.set_result(start)
+        for expired in self._holder.take_expired():
+            future = self._futures.get(expired.request)
+            if future is not None and not future.done():
+                future.set_exception(
+                    RequestRefusedError(
+                        "deadline-passed",
+                        "no slot was free before the deadline",
+                    )
+                )
+
+    def _schedule_pump(self) -> None:
+        if not self._is_pump_scheduled:
+            self._is_pump_scheduled = True
+            self._loop.call_soon(self.pump)
+
+    def _send(self, peer: VmId, message) -> None:
+        if peer == self._vm:
+            self.receive(peer, message)
+        else:
+            self._send_to_peer(peer, message)
+
+    def _is_for_scheduler(self, message) -> bool:
+        return (
+            self._scheduler is not None
+            and message.availability_zone == self._az
+        )
+
+    def _may_grant(self, now: float) -> bool:
+        return (
+            self._candidate.state(now) is LeaseState.HOLDING
+            and self._get_version() >= self._candidate.required_version
+        )
+
+    def _receive_report(
+        self, sender: VmId, message: m.ServerReport, now: float
+    ) -> None:
+        if self._is_for_scheduler(message):
+            self._send(sender, self._scheduler.report(message, now))
+
+    def _receive_lease_request(
+        self, sender: VmId, message: m.LeaseRequest, now: float
+    ) -> None:
+        elector = self._electors.get(message.availability_zone)
+        if elector is not None and sender == message.candidate:
+            reply = elector.request(message, self._get_version(), now)
+            self._send(sender, reply)
+
+    def _open_sessions(self, now: float) -> None:
+        for zone in self._schedulers:
+            if now >= self._register_deadlines.get(zone, 0.0):
+                self._register(zone, now)
+
+    def _register(self, zone: AvailabilityZoneId, now: float) -> None:
+        vm, epoch = self._schedulers[zone]
+        if vm != self._vm and vm not in self._live:
+            return
+        self._register_deadlines[zone] = now + REGISTER_SECONDS
+        is_fresh = now < self._fresh_deadline
+        self._send(
+            vm, self._holder.next_register(zone, epoch, now, fresh=is_fresh)
+        )
+
+    def _tick_lease(self, now: float) -> None:
+        state = self._candidate.state(now)
+        if self._is_leaving:
+            self._follow_lease(now)
+            return
+        if state is LeaseState.FOLLOWING and now >= self._campaign_deadline:
+            self._campaign_deadline = now + random.uniform(
+                CAMPAIGN_SECONDS, 2 * CAMPAIGN_SECONDS
+            )
+            if self._should_campaign():
+                epoch = f"{self._az}-{secrets.token_hex(4)}"
+                self._ask_electors(self._candidate.campaign(epoch, now))
+        else:
+            request = self._candidate.renew(now)
+            if request is not None:
+                self._ask_electors(request)
+        self._follow_lease(now)
+
+    def _should_campaign(self) -> bool:
+        """Tell whether no better live entry VM of the zone could stand."""
+        known = self._schedulers.get(self._az)
+        if known is not None and known[0] in self._live:
+            return False
+        own = [vm for vm, az in self._zones.items() if az == self._az]
+        for vm in rendezvous_order(self._az, own):
+            if vm == self._vm:
+                return True
+            if vm in self._live:
+                return False
+        return True
+
+    def _ask_electors(self, request: m.LeaseRequest) -> None:
+        for vm in sorted(self._electorates[self._az]):
+            self._send(vm, request)
+
+    def _follow_lease(self, now: float) -> None:
+        """Start or stop the scheduler as the lease is won or lost."""
+        is_holding = (
+            self._candidate.state(now) is LeaseState.HOLDING
+            and not self._is_leaving
+        )
+        if is_holding and self.scheduling_epoch != self._candidate.epoch:
+            self._start_scheduler(now)
+        elif not is_holding and self._scheduler is not None:
+            logger.warning("scheduler stopped", extra={"zone": self._az})
+            self._scheduler = None
+            if self._schedulers.get(self._az, ("", ""))[0] == self._vm:
+                del self._schedulers[self._az]
+
+    def _start_scheduler(self, now: float) -> None:
+        epoch = self._candidate.epoch
+        logger.info("scheduler started", extra={"zone": self._az, "ep": epoch})
+        self._scheduler = ZoneScheduler(
+            self._az, epoch, frozenset(self._zones), self._policy, now
+        )
+        self._schedulers[self._az] = (self._vm, epoch)
+        self._register(self._az, now)
+
+    def _log_decisions(self) -> None:
+        for decision in self._scheduler.take_decisions():
+            logger.info(
+                decision.kind.value,
+                extra={
+                    "server": decision.server,
+                    "team": decision.team,
+                    "permit": decision.permit,
+                    "reason": decision.reason,
+                },
+            )
+
+    def _refuse_hopeless(
+        self, pool: PoolId, team: TeamId, deadline: float, now: float
+    ) -> None:
+        """Refuse a request that cannot start before its deadline."""
+        waiting = self._holder.waiting_for(pool, team)
+        estimate = self._estimates.setdefault((pool, team), WaitEstimate())
+        if not waiting:
+            estimate.begin_busy(now)
+        wait = estimate.expected_wait(waiting, now)
+        if now + wait > deadline:
+            raise RequestRefusedError(
+                "queue-too-long",
+                f"{waiting} requests of the team wait, about {wait:.1f} s, "
+                "which is past the deadline",
+            )
+
+
+def _with_call(message: m.ServerReport, call: int) -> m.ServerReport:
+    return msgspec.structs.replace(message, call=call)
--- /dev/null
+++ b/galenarill/entry/watch.py
@@ -0,0 +1,112 @@
+"""What a zone's scheduler reports to the replicated log."""
+
+import asyncio
+import logging
+
+from galenarill.entry.control import ControlPath
+from galenarill.entry.slots import Slots
+from galenarill.errors import NotLeaderError
+from galenarill.scheduling import ZoneScheduler
+from galenarill.state import (
+    AcknowledgeAllotment,
+    AdvanceDrain,
+    ReportLoss,
+    ReportReturn,
+    VmState,
+)
+from galenarill.world import (
+    AvailabilityZoneId,
+    ChangeId,
+    OperatorId,
+    VmId,
+)
+
+__all__ = ["ZoneWatch"]
+
+# Silence after which a backend server's VM counts as lost.
+LOSS_SECONDS = 8.0
+WATCH_SECONDS = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class ZoneWatch:
+    """Proposes changes that follow from what the scheduler sees.
+
+    It reports lost and returned VMs, VMs that have drained, and allotments
+    that the zone keeps to. Each change names the state that it follows from,
+    so repeats and changes that come too late are refused as stale.
+    """
+
+    def __init__(
+        self, vm: VmId, az: AvailabilityZoneId, control: ControlPath, slots
+    ):
+        """Make the watch of one entry VM."""
+        self._operator = OperatorId(f"entry VM {vm}")
+        self._az = az
+        self._control = control
+        self._slots: Slots = slots
+        self._loop = asyncio.get_running_loop()
+        self._pending: dict[ChangeId, asyncio.Task] = {}
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            scheduler = self._slots.scheduler
+            if scheduler is not None and self._control.is_current:
+                self._watch_vms(scheduler)
+                self._watch_allotments(scheduler)
+
+    def _watch_vms(self, scheduler: ZoneScheduler) -> None:
+        now = self._loop.time()
+        for name, vm in self._control.state.vms.items():
+            if vm.availability_zone != self._az:
+                continue
+            server = scheduler.servers.get(name)
+            is_silent = (
+                server is not None
+                and server.lease_deadline + LOSS_SECONDS <= now
+            )
+            if vm.state is VmState.SERVING and is_silent:
+                command = ReportLoss(name, server.incarnation)
+                version = self._control.state.version
+                self._propose(command, f"loss:{name}:{version}")
+            elif vm.state is VmState.LOST and server and not is_silent:
+                version = self._control.state.version
+                self._propose(ReportReturn(name), f"return:{name}:{version}")
+            elif vm.state is VmState.DRAINING and scheduler.is_ready(now):
+                if scheduler.used_by_server(name) == 0:
+                    command = AdvanceDrain(name, vm.grant)
+                    self._propose(command, f"drained:{vm.grant}")
+
+    def _watch_allotments(self, scheduler: ZoneScheduler) -> None:
+        """Acknowledge targets that have become lower.
+
+        Only once a majority of the zone's electors has applied the lower
+        target, so that no later scheduler starts from the higher one.
+        """
+        state = self._control.state
+        if self._slots.majority_version() < state.version:
+            return
+        for team, escrow in state.limits.items():
+            target = escrow.targets.get(self._az, 0)
+            held = escrow.held.get(self._az, 0)
+            if held > target and scheduler.running(team) <= target:
+                command = AcknowledgeAllotment(self._az, team, target)
+                change = f"ack:{self._az}:{team}:{target}:{state.version}"
+                self._propose(command, change)
+
+    def _propose(self, command, change: str) -> None:
+        change_id = ChangeId(change)
+        if change_id in self._pending:
+            return
+        task = asyncio.create_task(self._send(command, change_id))
+        self._pending[change_id] = task
+        task.add_done_callback(lambda _: self._pending.pop(change_id, None))
+
+    async def _send(self, command, change_id: ChangeId) -> None:
+        try:
+            await self._control.propose(command, self._operator, change_id)
+        except NotLeaderError as error:
+            logger.info("report postponed", extra={"why": str(error)})
--- /dev/null
+++ b/galenarill/links/__init__.py
@@ -0,0 +1,4 @@
+"""Links between entry VMs: websockets that carry CBOR."""
+
+from galenarill.links.codec import *  # noqa: F403
+from galenarill.links.mesh import *  # noqa: F403
--- /dev/null
+++ b/galenarill/links/codec.py
@@ -0,0 +1,70 @@
+"""Encoding of messages between entry VMs."""
+
+import decimal
+import functools
+import operator
+from collections.abc import Sequence
+
+import cbor2
+import msgspec
+
+from galenarill.claims import messages as claims
+from galenarill.consensus import messages as consensus
+from galenarill.errors import ProtocolError
+from galenarill.membership import messages as membership
+from galenarill.scheduling import messages as scheduling
+from galenarill.state import messages as state
+
+__all__ = ["encode_batch", "decode_batch", "MAX_FRAME_BYTES"]
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+# Types that CBOR carries without a conversion.
+CBOR_TYPES = (bytes, decimal.Decimal)
+
+_KINDS = [
+    kind
+    for module in (claims, consensus, membership, scheduling, state)
+    for kind in (getattr(module, name) for name in module.__all__)
+    if isinstance(kind, type)
+    and issubclass(kind, msgspec.Struct)
+    and kind.__struct_config__.tag is not None
+]
+_Message = functools.reduce(operator.or_, _KINDS)
+
+
+def encode_batch(batch: Sequence[msgspec.Struct]) -> bytes:
+    """Encode messages that go out in one frame.
+
+    Args:
+        batch: Messages.
+
+    Returns:
+        A CBOR array with one array for each message.
+    """
+    return cbor2.dumps(
+        msgspec.to_builtins(list(batch), builtin_types=CBOR_TYPES)
+    )
+
+
+def decode_batch(data: bytes) -> list[msgspec.Struct]:
+    """Decode the messages of one frame.
+
+    Raises:
+        ProtocolError: If `data` does not hold known messages.
+
+    Example:
+        >>> decode_batch(encode_batch([claims.TableRequest()]))
+        [TableRequest()]
+    """
+    try:
+        return msgspec.convert(
+            cbor2.loads(data), list[_Message], builtin_types=CBOR_TYPES
+        )
+    except (
+        msgspec.ValidationError,
+        cbor2.CBORDecodeError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise ProtocolError(f"not a batch of messages: {error}") from error
--- /dev/null
+++ b/galenarill/links/handshake.py
@@ -0,0 +1,112 @@
+"""Mutual authentication of two entry VMs on a new link."""
+
+import hashlib
+import hmac
+import secrets
+
+import cbor2
+import msgspec
+
+from galenarill.errors import AuthenticationError
+from galenarill.world import VmId
+
+__all__ = ["greet", "welcome"]
+
+NONCE_BYTES = 16
+
+
+class _Hello(msgspec.Struct, array_like=True):
+    vm: VmId
+    nonce: bytes
+
+
+class _Challenge(msgspec.Struct, array_like=True):
+    vm: VmId
+    nonce: bytes
+    proof: bytes
+
+
+class _Proof(msgspec.Struct, array_like=True):
+    proof: bytes
+
+
+async def greet(socket, secret: bytes, vm: VmId, peer: VmId) -> None:
+    """Prove who we are to the peer that we have dialled, and check it.
+
+    Each side shows that it has the secret by a keyed hash over both names and
+    both nonces, so neither a replay nor a reflection passes.
+
+    Args:
+        socket: Open websocket.
+        secret: Secret that the fleet's entry VMs share.
+        vm: This VM.
+        peer: VM that was dialled.
+
+    Raises:
+        AuthenticationError: If the peer does not have the secret.
+    """
+    hello = _Hello(vm, secrets.token_bytes(NONCE_BYTES))
+    await _send(socket, hello)
+    challenge = await _receive(socket, _Challenge)
+    transcript = (hello.vm, challenge.vm, hello.nonce, challenge.nonce)
+    expected = _proof(secret, "acceptor", *transcript)
+    if challenge.vm != peer or not hmac.compare_digest(
+        challenge.proof, expected
+    ):
+        raise AuthenticationError(f"{peer} did not prove who it is")
+    await _send(socket, _Proof(_proof(secret, "dialer", *transcript)))
+
+
+async def welcome(
+    socket, secret: bytes, vm: VmId, peers: frozenset[VmId]
+) -> VmId:
+    """Check the peer that has dialled, and prove who we are.
+
+    Args:
+        socket: Open websocket.
+        secret: Secret that the fleet's entry VMs share.
+        vm: This VM.
+        peers: VMs that may dial.
+
+    Returns:
+        The peer.
+
+    Raises:
+        AuthenticationError: If the peer is unknown or lacks the secret.
+    """
+    hello = await _receive(socket, _Hello)
+    if hello.vm not in peers:
+        raise AuthenticationError(f"{hello.vm!r} may not open a link")
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    transcript = (hello.vm, vm, hello.nonce, nonce)
+    proof = _proof(secret, "acceptor", *transcript)
+    await _send(socket, _Challenge(vm, nonce, proof))
+    answer = await _receive(socket, _Proof)
+    expected = _proof(secret, "dialer", *transcript)
+    if not hmac.compare_digest(answer.proof, expected):
+        raise AuthenticationError(f"{hello.vm} did not prove who it is")
+    return hello.vm
+
+
+def _proof(secret: bytes, role: str, *transcript) -> bytes:
+    message = cbor2.dumps([role, *transcript])
+    return hmac.new(secret, message, hashlib.sha256).digest()
+
+
+async def _send(socket, message: msgspec.Struct) -> None:
+    await socket.send(
+        cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    )
+
+
+async def _receive(socket, kind):
+    try:
+        data = await socket.recv()
+        return msgspec.convert(cbor2.loads(data), kind, builtin_types=(bytes,))
+    except (
+        msgspec.ValidationError,
+        cbor2.CBORDecodeError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise AuthenticationError("not a handshake") from error
--- /dev/null
+++ b/galenarill/links/mesh.py
@@ -0,0 +1,261 @@
+"""Links from one entry VM to all the others."""
+
+import asyncio
+import collections
+import contextlib
+import logging
+import random
+from collections.abc import Callable, Mapping
+
+import msgspec
+import websockets
+from websockets.asyncio import client, server
+
+from galenarill.errors import AuthenticationError, ProtocolError
+from galenarill.links import handshake
+from galenarill.links.codec import (
+    MAX_FRAME_BYTES,
+    decode_batch,
+    encode_batch,
+)
+from galenarill.world import VmId
+
+__all__ = ["Mesh", "LinkCounters"]
+
+HANDSHAKE_SECONDS = 3.0
+# Silence after which a link counts as half-open and is closed.
+SILENCE_SECONDS = 3.0
+MIN_BACKOFF_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 2.0
+# Messages that may wait for one link; beyond this the link is reset, and the
+# protocols above start over as after any loss.
+MAX_QUEUED_MESSAGES = 20_000
+
+logger = logging.getLogger(__name__)
+
+
+class LinkCounters(msgspec.Struct):
+    """Traffic over all links.
+
+    Attributes:
+        sent_bytes: Payload bytes sent.
+        received_bytes: Payload bytes received.
+        sent_messages: Messages sent.
+        received_messages: Messages received.
+    """
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent_messages: int = 0
+    received_messages: int = 0
+
+
+class _Link:
+    """One open link and the messages that wait for it."""
+
+    def __init__(self, socket, now: float):
+        self.socket = socket
+        self.queue: collections.deque = collections.deque()
+        self.has_messages = asyncio.Event()
+        self.silence_deadline = now + SILENCE_SECONDS
+
+
+class Mesh:
+    """Authenticated links to the peers.
+
+    Of two entry VMs, the one with the smaller id dials. Messages to a peer
+    arrive in order or, when the link breaks, not at all. All messages that
+    are ready at the same time travel in one frame.
+    """
+
+    def __init__(
+        self,
+        vm: VmId,
+        address: str,
+        peers: Mapping[VmId, str],
+        secret: bytes,
+        on_message: Callable[[VmId, msgspec.Struct], None],
+        on_change: Callable[[VmId, bool], None],
+    ):
+        """Make a mesh that is not yet started.
+
+        Args:
+            vm: This VM.
+            address: `host:port` to listen on.
+            peers: `host:port` of every other entry VM.
+            secret: Secret that the entry VMs share.
+            on_message: Called with the sender and each message.
+            on_change: Called with a peer and whether its link is up.
+        """
+        self._vm = vm
+        self._address = address
+        self._peers = dict(peers)
+        self._secret = secret
+        self._on_message = on_message
+        self._on_change = on_change
+        self._links: dict[VmId, _Link] = {}
+        self._tasks: list[asyncio.Task] = []
+        self._server = None
+        self._counters = LinkCounters()
+
+    @property
+    def counters(self) -> LinkCounters:
+        """Traffic over all links."""
+        return self._counters
+
+    @property
+    def connected(self) -> list[VmId]:
+        """Peers whose link is up."""
+        return sorted(self._links)
+
+    async def start(self) -> None:
+        """Listen, and begin to dial."""
+        host, _, port = self._address.rpartition(":")
+        self._server = await server.serve(
+            self._accept,
+            host,
+            int(port),
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+            open_timeout=HANDSHAKE_SECONDS,
+        )
+        for peer in self._peers:
+            if self._vm < peer:
+                task = asyncio.create_task(self._dial_forever(peer))
+                self._tasks.append(task)
+        self._tasks.append(asyncio.create_task(self._watch_silence()))
+
+    async def stop(self) -> None:
+        """Send what waits, then close every link."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for link in list(self._links.values()):
+            if link.queue:
+                with contextlib.suppress(websockets.ConnectionClosed):
+                    await self._send_queued(link)
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def send(self, peer: VmId, message: msgspec.Struct) -> bool:
+        """Queue a message.
+
+        Returns:
+            Whether there is a link; a message without one is dropped.
+        """
+        link = self._links.get(peer)
+        if link is None:
+            return False
+        link.queue.append(message)
+        link.has_messages.set()
+        if len(link.queue) > MAX_QUEUED_MESSAGES:
+            logger.warning("link reset", extra={"peer": peer, "why": "queue"})
+            self._drop(peer, link)
+        return True
+
+    async def _accept(self, socket) -> None:
+        try:
+            async with asyncio.timeout(HANDSHAKE_SECONDS):
+                peer = await handshake.welcome(
+                    socket, self._secret, self._vm, frozenset(self._peers)
+                )
+        except (
+            AuthenticationError,
+            TimeoutError,
+            websockets.ConnectionClosed,
+        ) as error:
+            logger.warning("link refused", extra={"why": str(error)})
+            return
+        await self._run(peer, socket)
+
+    async def _dial_forever(self, peer: VmId) -> None:
+        backoff = MIN_BACKOFF_SECONDS
+        while True:
+            try:
+                if await self._dial(peer):
+                    backoff = MIN_BACKOFF_SECONDS
+            except (
+                OSError,
+                TimeoutError,
+                AuthenticationError,
+                websockets.WebSocketException,
+            ) as error:
+                logger.debug("link down", extra={"peer": peer, "why": error})
+            await asyncio.sleep(random.uniform(0.5, 1.0) * backoff)
+            backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
+
+    async def _dial(self, peer: VmId) -> bool:
+        async with client.connect(
+            f"ws://{self._peers[peer]}",
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+            open_timeout=HANDSHAKE_SECONDS,
+            close_timeout=1.0,
+            proxy=None,
+        ) as socket:
+            async with asyncio.timeout(HANDSHAKE_SECONDS):
+                await handshake.greet(socket, self._secret, self._vm, peer)
+            await self._run(peer, socket)
+        return True
+
+    async def _run(self, peer: VmId, socket) -> None:
+        """Carry messages over an authenticated link until it breaks."""
+        link = _Link(socket, asyncio.get_running_loop().time())
+        earlier = self._links.get(peer)
+        if earlier is not None:
+            self._drop(peer, earlier)
+        self._links[peer] = link
+        self._on_change(peer, True)
+        sender = asyncio.create_task(self._send_forever(link))
+        try:
+            await self._receive_forever(peer, link)
+        except ProtocolError as error:
+            logger.error("link reset", extra={"peer": peer, "why": str(error)})
+        finally:
+            sender.cancel()
+            self._drop(peer, link)
+
+    async def _receive_forever(self, peer: VmId, link: _Link) -> None:
+        loop = asyncio.get_running_loop()
+        async for data in link.socket:
+            link.silence_deadline = loop.time() + SILENCE_SECONDS
+            batch = decode_batch(data)
+            self._counters.received_bytes += len(data)
+            self._counters.received_messages += len(batch)
+            for message in batch:
+                self._on_message(peer, message)
+
+    async def _send_forever(self, link: _Link) -> None:
+        with contextlib.suppress(websockets.ConnectionClosed):
+            while True:
+                await link.has_messages.wait()
+                await self._send_queued(link)
+
+    async def _send_queued(self, link: _Link) -> None:
+        batch = list(link.queue)
+        link.queue.clear()
+        link.has_messages.clear()
+        data = encode_batch(batch)
+        self._counters.sent_bytes += len(data)
+        self._counters.sent_messages += len(batch)
+        await link.socket.send(data)
+
+    def _drop(self, peer: VmId, link: _Link) -> None:
+        if self._links.get(peer) is link:
+            del self._links[peer]
+            self._on_change(peer, False)
+        link.socket.transport.abort()
+
+    async def _watch_silence(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SILENCE_SECONDS / 4)
+            for peer, link in list(self._links.items()):
+                if loop.time() > link.silence_deadline:
+                    logger.warning(
+                        "link reset", extra={"peer": peer, "why": "silence"}
+                    )
+                    self._drop(peer, link)
--- a/galenarill/scheduling/__init__.py
+++ b/galenarill/scheduling/__init__.py
@@ -1,5 +1,6 @@
 """Decisions on slots, limits, shares, retries and quarantine."""
 
+from galenarill.scheduling.admission import *  # noqa: F403
 from galenarill.scheduling.lease import *  # noqa: F403
 from galenarill.scheduling.permits import *  # noqa: F403
 from galenarill.scheduling.policy import *  # noqa: F403
--- a/galenarill/scheduling/permits.py
+++ b/galenarill/scheduling/permits.py
@@ -157,6 +157,7 @@
         ] = collections.defaultdict(list)
         self._starts: list[Start] = []
         self._expired: list[Expired] = []
+        self._gone: list[PermitId] = []
 
     @property
     def permits(self) -> dict[PermitId, HeldPermitRecord]:
@@ -168,11 +169,13 @@
         """Number of requests that wait."""
         return len(self._pair_of)
 
-    def waiting_for(self, pool: PoolId) -> int:
-        """Return the number of requests that wait for `pool`."""
-        return sum(
-            len(queue) for (p, _), queue in self._waiting.items() if p == pool
-        )
+    def is_waiting(self, request: RequestId) -> bool:
+        """Tell whether `request` waits for a slot."""
+        return request in self._pair_of
+
+    def waiting_for(self, pool: PoolId, team: TeamId) -> int:
+        """Return the number of requests of `team` that wait for `pool`."""
+        return len(self._waiting.get((pool, team), ()))
 
     def is_session_valid(
         self, availability_zone: AvailabilityZoneId, now: float
@@ -395,6 +398,11 @@
         expired, self._expired = self._expired, []
         return expired
 
+    def take_gone(self) -> list[PermitId]:
+        """Return the permits given back since the last call."""
+        gone, self._gone = self._gone, []
+        return gone
+
     def take_messages(
         self, now: float
     ) -> list[tuple[AvailabilityZoneId, messages.Demand | messages.Returned]]:
@@ -477,6 +485,7 @@
     ) -> None:
         permit = record.permit
         del self._permits[permit.permit_id]
+        self._gone.append(permit.permit_id)
         self._idle[permit.pool, permit.team].pop(permit.permit_id, None)
         self._returned[record.availability_zone].append(
             messages.ReturnedPermit(
--- a/galenarill/scheduling/scheduler.py
+++ b/galenarill/scheduling/scheduler.py
@@ -12,6 +12,7 @@
 from galenarill.scheduling.policy import SchedulingPolicy
 from galenarill.scheduling.quarantine import FailureComparison
 from galenarill.scheduling.servers import (
+    ORPHAN_REPORTS,
     BackendServer,
     Orphan,
     permit_of,
@@ -32,9 +33,6 @@
 # Time for which a returned permit is remembered, so that a report made before
 # its return does not count its attempts as running.
 CLOSED_SECONDS = 10.0
-# Reports without an orphan's attempts that prove its end: the first may have
-# been made before the attempt began, the second follows the reply to the first.
-ORPHAN_REPORTS = 2
 
 
 class DecisionKind(enum.Enum):
@@ -261,7 +259,7 @@
         if message.sequence == 1:
             # Nothing can have been sent to it before its first announcement.
             server.known_reports = ORPHAN_REPORTS
-        elif self._is_ready(now):
+        elif self.is_ready(now):
             server.known_reports += 1
         self._compare_running(server, message.running, now)
         self._dirty.add(server.pool)
@@ -314,7 +312,7 @@
 
     def allocate(self, now: float) -> None:
         """Grant free slots of every pool where something has changed."""
-        if not self._is_ready(now):
+        if not self.is_ready(now):
             return
         dirty, self._dirty = self._dirty, set()
         for pool_id in dirty:
@@ -330,7 +328,8 @@
         decisions, self._decisions = self._decisions, []
         return decisions
 
-    def _is_ready(self, now: float) -> bool:
+    def is_ready(self, now: float) -> bool:
+        """Tell whether no unknown holder can start anything any more."""
         return not self._unregistered or now >= self._fenced_at
 
     def _send(self, holder: VmId, message) -> None:
@@ -657,7 +656,7 @@
             return "leaving"
         if server.lease_deadline <= now:
             return "silent"
-        if server.known_reports < ORPHAN_REPORTS:
+        if not server.is_known:
             return "not yet compared"
         if pool.failures.is_quarantined(server.vm, now):
             return "quarantined"
--- a/galenarill/scheduling/servers.py
+++ b/galenarill/scheduling/servers.py
@@ -11,10 +11,14 @@
     "permit_of",
     "team_of",
     "SERVER_LEASE_SECONDS",
+    "ORPHAN_REPORTS",
 ]
 
 # Time after its last announcement for which a backend server gets work.
 SERVER_LEASE_SECONDS = 3.0
+# Reports without an orphan's attempts that prove its end: the first may have
+# been made before the attempt began, the second follows the reply to the first.
+ORPHAN_REPORTS = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +74,11 @@
         """Slots that are or may be in use."""
         return len(self.permits) + len(self.orphans)
 
+    @property
+    def is_known(self) -> bool:
+        """Whether every attempt that may run on it is counted."""
+        return self.known_reports >= ORPHAN_REPORTS
+
     @property
     def free(self) -> int:
         """Slots that may be granted, negative after a takeover or cut."""
--- a/galenarill/settings/model.py
+++ b/galenarill/settings/model.py
@@ -73,7 +73,7 @@
     Attributes:
         pool: Pool that runs its requests.
         open: Whether requests need no key.
-        max_waiting: Requests that may wait at one entry VM.
+        max_waiting: Requests of one team that may wait at one entry VM.
     """
 
     pool: str
--- a/galenarill/settings/process.py
+++ b/galenarill/settings/process.py
@@ -44,6 +44,8 @@
         data_folder: Folder of the replicated log, on voters.
         log_file: File for the log lines, or "" for standard error.
         platform: Base URL of the platform's interface, or "".
+        server_secret_file: File with the secret that backend servers present,
+            or "" if they need none.
     """
 
     vm: str
@@ -53,12 +55,20 @@
     data_folder: str = ""
     log_file: str = ""
     platform: str = ""
+    server_secret_file: str = ""
 
     @property
     def own(self) -> PeerSettings:
         """This entry VM."""
         return next(peer for peer in self.entry_vms if peer.id == self.vm)
 
+    @property
+    def server_secret(self) -> str:
+        """Secret that backend servers present, or ""."""
+        if not self.server_secret_file:
+            return ""
+        return pathlib.Path(self.server_secret_file).read_text().strip()
+
     @property
     def zones(self) -> dict[VmId, AvailabilityZoneId]:
         """Zone of each entry VM."""
--- a/galenarill/state/fleet.py
+++ b/galenarill/state/fleet.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+from collections.abc import Iterable, Iterator
 
 import cbor2
 import msgspec
@@ -182,12 +183,12 @@
     def _edit_settings(
         self, command: commands.EditSettings, change: Change
     ) -> Outcome:
-        if conflicts := self._conflicts(command, change.based_on):
+        edits = list(_leaf_edits(command.edits))
+        if conflicts := self._conflicts(edits, change.based_on):
             text = "; ".join(conflicts)
             return self._refuse(OutcomeCode.CONFLICT, text)
         values = dict(self._values)
-        for edit in command.edits:
-            _edit(values, edit)
+        _apply_edits(values, edits)
         settings, faults = structure_settings(unflatten(values))
         if settings is None:
             return Outcome(
@@ -201,26 +202,32 @@
             names = ", ".join(sorted(busy))
             text = f"VMs out of service cannot be removed: {names}"
             return self._refuse(OutcomeCode.CONFLICT, text)
-        changed = [e for e in command.edits if _differs(self._values, e)]
-        for edit in changed:
-            self._modified[edit.path] = self._version
+        changed = [
+            path
+            for path in values.keys() | self._values.keys()
+            if values.get(path) != self._values.get(path)
+        ]
+        for path in changed:
+            self._modified[path] = self._version
         self._values = values
         self._settings = settings
         self._follow_settings()
         return self._accept(f"{len(changed)} settings changed")
 
     def _conflicts(
-        self, command: commands.EditSettings, based_on: int
+        self, edits: list[commands.Edit], based_on: int
     ) -> list[str]:
         """Describe the edits of settings that changed since `based_on`."""
         if based_on < 0:
             return []
+        later = {p: v for p, v in self._modified.items() if v > based_on}
         return [
-            f"{'.'.join(edit.path)} is {self._values.get(edit.path)!r} since "
-            f"version {self._modified[edit.path]}, not changed to "
-            f"{edit.value!r} based on version {based_on}"
-            for edit in command.edits
-            if self._modified.get(edit.path, 0) > based_on
+            f"{'.'.join(path)} is {self._values.get(path)!r} since version "
+            f"{version}, not changed to {edit.value!r} based on version "
+            f"{based_on}"
+            for edit in edits
+            for path, version in later.items()
+            if _overlaps(path, edit.path)
         ]
 
     def _follow_settings(self) -> None:
@@ -415,28 +422,41 @@
         return self._accept(f"keeps to {command.target} slots")
 
 
-def _edit(values: dict[Path, object], edit: commands.Edit) -> None:
-    """Apply one edit to settings by path."""
-    if edit.is_removed or isinstance(edit.value, dict):
-        length = len(edit.path)
-        for path in [p for p in values if p[:length] == edit.path]:
-            del values[path]
-    if edit.is_removed:
-        return
-    for length in range(1, len(edit.path)):
-        if values.get(edit.path[:length]) == {}:
-            del values[edit.path[:length]]
-    if isinstance(edit.value, dict) and edit.value:
-        for path, value in flatten(edit.value).items():
-            values[*edit.path, *path] = value
-    else:
-        values[edit.path] = edit.value
-
-
-def _differs(values: dict[Path, object], edit: commands.Edit) -> bool:
-    missing = object()
-    old = values.get(edit.path, missing)
-    return old is not missing if edit.is_removed else old != edit.value
+def _leaf_edits(edits: Iterable[commands.Edit]) -> Iterator[commands.Edit]:
+    """Split edits of whole tables into edits of single values."""
+    for edit in edits:
+        if isinstance(edit.value, dict) and edit.value:
+            for path, value in flatten(edit.value).items():
+                yield commands.Edit((*edit.path, *path), value)
+        else:
+            yield edit
+
+
+def _apply_edits(
+    values: dict[Path, object], edits: list[commands.Edit]
+) -> None:
+    """Apply edits to settings by path.
+
+    A new value takes the place of a table and the reverse. Only edits of a
+    path that is a table look at every value.
+    """
+    tables = {path[:n] for path in values for n in range(1, len(path))}
+    for edit in edits:
+        path = edit.path
+        if path in tables:
+            for below in [p for p in values if _overlaps(p, path)]:
+                del values[below]
+        for length in range(1, len(path) + 1):
+            values.pop(path[:length], None)
+        if not edit.is_removed:
+            values[path] = edit.value
+            tables.update(path[:n] for n in range(1, len(path)))
+
+
+def _overlaps(path: Path, other: Path) -> bool:
+    """Tell whether one path is the other or leads to it."""
+    length = min(len(path), len(other))
+    return path[:length] == other[:length]
 
 
 def _describe(command) -> str:
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what surrounds galenarill, and a fleet on loopback."""
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,84 @@
+"""Stand-in for the platform that reboots VMs."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+__all__ = ["FakePlatform"]
+
+
+class FakePlatform:
+    """A platform with lost answers, slowness and repeats on request."""
+
+    def __init__(
+        self,
+        vms: list[str],
+        reboot_seconds: float = 1.0,
+        on_reboot: Callable[[str], Awaitable[None]] | None = None,
+    ):
+        """Make a platform.
+
+        Args:
+            vms: VMs that it runs.
+            reboot_seconds: Time that a reboot takes.
+            on_reboot: Called with a VM that reboots.
+        """
+        self.reboots: list[tuple[str, str]] = []
+        self.lose_answers = 0
+        self.address = ""
+        self._seconds = reboot_seconds
+        self._on_reboot = on_reboot
+        self._state = dict.fromkeys(vms, "running")
+        self._last_command = dict.fromkeys(vms, "")
+        self._runner: web.AppRunner | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        app = web.Application()
+        app.router.add_put("/v1/vms/{vm}/reboots/{command}", self._reboot)
+        app.router.add_get("/v1/vms/{vm}", self._describe)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def _reboot(self, request: web.Request) -> web.Response:
+        vm, command = request.match_info["vm"], request.match_info["command"]
+        if vm not in self._state:
+            return web.Response(status=404)
+        if (vm, command) not in self.reboots:
+            self.reboots.append((vm, command))
+            task = asyncio.create_task(self._run_reboot(vm, command))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            request.transport.abort()
+        return web.json_response({})
+
+    async def _run_reboot(self, vm: str, command: str) -> None:
+        self._state[vm] = "rebooting"
+        if self._on_reboot is not None:
+            await self._on_reboot(vm)
+        await asyncio.sleep(self._seconds)
+        self._state[vm] = "running"
+        self._last_command[vm] = command
+
+    async def _describe(self, request: web.Request) -> web.Response:
+        vm = request.match_info["vm"]
+        if vm not in self._state:
+            return web.Response(status=404)
+        return web.json_response(
+            {
+                "vm": vm,
+                "state": self._state[vm],
+                "last_command": self._last_command[vm],
+            }
+        )
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,95 @@
+"""TCP proxy that injects faults between two processes."""
+
+import asyncio
+import contextlib
+import enum
+
+__all__ = ["FaultProxy", "Fault"]
+
+CHUNK_BYTES = 64 * 1024
+
+
+class Fault(enum.Enum):
+    """What the proxy does to the connections that pass through it."""
+
+    NONE = "none"
+    CUT = "cut"
+    HALF_OPEN = "half-open"
+    RESET = "reset"
+    DROP_REQUESTS = "drop-requests"
+    DROP_ANSWERS = "drop-answers"
+
+
+class FaultProxy:
+    """Passes connections on to one address, with faults set at run time.
+
+    CUT refuses and breaks connections. HALF_OPEN keeps them open and carries
+    nothing. RESET breaks the present ones once. DROP_REQUESTS and DROP_ANSWERS
+    carry one direction only.
+    """
+
+    def __init__(self, target: str):
+        """Make a proxy to `target`, given as `host:port`."""
+        self.address = ""
+        self.delay_seconds = 0.0
+        self._target = target
+        self._fault = Fault.NONE
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(
+            self._handle, "127.0.0.1", port
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Break every connection and stop listening."""
+        self._server.close()
+        self._break_all()
+
+    def set_fault(self, fault: Fault) -> None:
+        """Inject `fault` from now on; RESET acts once."""
+        if fault in (Fault.CUT, Fault.RESET):
+            self._break_all()
+        self._fault = Fault.NONE if fault is Fault.RESET else fault
+
+    def _break_all(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _handle(self, reader, writer) -> None:
+        if self._fault is Fault.CUT:
+            writer.transport.abort()
+            return
+        host, _, port = self._target.rpartition(":")
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, target_writer}
+        try:
+            await asyncio.gather(
+                self._carry(reader, target_writer, Fault.DROP_REQUESTS),
+                self._carry(target_reader, writer, Fault.DROP_ANSWERS),
+            )
+        finally:
+            self._writers -= {writer, target_writer}
+            writer.transport.abort()
+            target_writer.transport.abort()
+
+    async def _carry(self, reader, writer, dropping: Fault) -> None:
+        with contextlib.suppress(ConnectionError, OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self._fault in (Fault.HALF_OPEN, dropping):
+                    continue
+                if self.delay_seconds:
+                    await asyncio.sleep(self.delay_seconds)
+                writer.write(data)
+                await writer.drain()
+            writer.write_eof()
--- /dev/null
+++ b/standins/server.py
@@ -0,0 +1,203 @@
+"""Stand-in for a backend server that keeps its own record of what it ran."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import itertools
+import random
+import secrets
+import time
+
+import aiohttp
+from aiohttp import web
+
+__all__ = ["FakeServer", "Execution"]
+
+ANNOUNCE_SECONDS = 1.0
+RETRY_SECONDS = 0.2
+CHUNK_BYTES = 16 * 1024
+
+
+@dataclasses.dataclass
+class Execution:
+    """One attempt that reached the backend server.
+
+    Attributes:
+        request: Request id.
+        attempt: Attempt id.
+        team: Team.
+        server: VM of the backend server.
+        began_at: Unix time in seconds.
+        ended_at: Unix time in seconds, or 0 while it runs.
+    """
+
+    request: str
+    attempt: str
+    team: str
+    server: str
+    began_at: float
+    ended_at: float = 0.0
+
+
+class FakeServer:
+    """A backend server that sleeps, echoes, streams or fails as asked.
+
+    The query of a request says what to do: `sleep` seconds before the answer,
+    `bytes` of answer, `status` to answer with, `cut` the connection in the
+    middle of the answer. It runs on when the connection of a request breaks.
+    """
+
+    def __init__(self, vm: str, pool: str, entry_vms: list[str], slots: int):
+        """Make a backend server.
+
+        Args:
+            vm: Its VM.
+            pool: Its pool.
+            entry_vms: `host:port` of the entry VMs that it may announce to.
+            slots: Requests that it runs at once.
+        """
+        self.vm = vm
+        self.pool = pool
+        self.slots = slots
+        self.connections = 60
+        self.entry_vms = entry_vms
+        self.incarnation = secrets.token_hex(4)
+        self.executions: list[Execution] = []
+        self.running: dict[str, Execution] = {}
+        self.most_running = 0
+        self.most_connections = 0
+        self.fails_everything = False
+        self.is_silent = False
+        self.is_leaving = False
+        self.address = ""
+        self._open_connections = 0
+        self._sequence = itertools.count(1)
+        self._runner: web.AppRunner | None = None
+        self._task: asyncio.Task | None = None
+
+    async def start(self, port: int = 0) -> None:
+        """Listen, and begin to announce."""
+        app = web.Application(client_max_size=1 << 30)
+        app.router.add_route("*", "/{tail:.*}", self._handle)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", port)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        self._task = asyncio.create_task(self._announce_forever())
+
+    async def stop(self) -> None:
+        """Stop at once, as in a crash."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        await self._runner.cleanup()
+
+    async def restart(self) -> None:
+        """Crash and come back as a new incarnation."""
+        port = int(self.address.rpartition(":")[2])
+        await self.stop()
+        self.incarnation = secrets.token_hex(4)
+        self.running.clear()
+        self._sequence = itertools.count(1)
+        await self.start(port)
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        execution = Execution(
+            request.headers.get("Galenarill-Request-Id", ""),
+            request.headers.get("Galenarill-Attempt-Id", ""),
+            request.headers.get("Galenarill-Team", ""),
+            self.vm,
+            time.time(),
+        )
+        self.executions.append(execution)
+        self.running[execution.attempt] = execution
+        self.most_running = max(self.most_running, len(self.running))
+        connections = len(self._runner.server.connections)
+        self.most_connections = max(self.most_connections, connections)
+        try:
+            # Shielded, because work goes on when nobody waits any more.
+            return await asyncio.shield(self._answer(request, execution))
+        finally:
+            execution.ended_at = time.time()
+            self.running.pop(execution.attempt, None)
+
+    async def _answer(
+        self, request: web.Request, execution: Execution
+    ) -> web.StreamResponse:
+        query = request.query
+        digest = hashlib.sha256()
+        size = 0
+        async for chunk in request.content.iter_any():
+            digest.update(chunk)
+            size += len(chunk)
+        await asyncio.sleep(float(query.get("sleep", 0)))
+        if self.fails_everything:
+            return web.Response(status=500, text="broken")
+        if "bytes" in query or "cut" in query:
+            return await self._stream(request, int(query.get("bytes", 100000)))
+        return web.json_response(
+            {
+                "request": execution.request,
+                "team": execution.team,
+                "server": self.vm,
+                "path": request.path,
+                "size": size,
+                "digest": digest.hexdigest(),
+                "tag": query.get("tag", ""),
+            },
+            status=int(query.get("status", 200)),
+        )
+
+    async def _stream(
+        self, request: web.Request, size: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for offset in range(0, size, CHUNK_BYTES):
+            await response.write(b"x" * min(CHUNK_BYTES, size - offset))
+            if "cut" in request.query:
+                request.transport.abort()
+                return response
+        await response.write_eof()
+        return response
+
+    async def _announce_forever(self) -> None:
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=2.0)
+        ) as session:
+            while True:
+                wait = RETRY_SECONDS
+                if not self.is_silent and await self.announce(session):
+                    wait = ANNOUNCE_SECONDS
+                await asyncio.sleep(wait)
+
+    async def announce(self, session: aiohttp.ClientSession) -> bool:
+        """Announce once to some entry VM.
+
+        Returns:
+            Whether it was taken in.
+        """
+        url = f"http://{random.choice(self.entry_vms)}"
+        body = {
+            "pool": self.pool,
+            "address": self.address,
+            "incarnation": self.incarnation,
+            "sequence": next(self._sequence),
+            "slots": self.slots,
+            "connections": self.connections,
+            "running": list(self.running),
+            "leaving": self.is_leaving,
+        }
+        try:
+            async with session.post(
+                f"{url}/v1/backend-servers/{self.vm}", json=body
+            ) as response:
+                if response.status != 200:
+                    return False
+                self.pool = (await response.json())["pool"]
+                return True
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
