Prove the end of an attempt by a stamped report

Cause: two reports in a row do not prove that an attempt has ended, since both may have been made before it began and delivered late, in either order. Change: each reply to a backend server carries a stamp that its next announcement repeats; an attempt missing from a report whose stamp is later than the fence of its holder does not run.

--- a/galenarill/entry/servers.py
+++ b/galenarill/entry/servers.py
@@ -33,6 +33,7 @@
         connections: Connections that it accepts.
         running: Attempts that it runs.
         leaving: Whether it departs.
+        seen: Stamp of the last reply that it had when it made this.
     """
 
     pool: str
@@ -43,6 +44,7 @@
     connections: int
     running: list[str] = []
     leaving: bool = False
+    seen: str = ""
 
 
 class ServerInterface:
@@ -95,6 +97,7 @@
             connections=announcement.connections,
             running=tuple(AttemptId(a) for a in announcement.running),
             leaving=announcement.leaving,
+            seen=announcement.seen,
         )
         try:
             reply = await self._slots.report(report)
@@ -107,6 +110,7 @@
                 "reason": reply.reason,
                 "pool": record.pool,
                 "stop": list(reply.stop),
+                "stamp": reply.stamp,
                 "renew_after_seconds": RENEW_SECONDS,
             }
         )
--- a/galenarill/scheduling/messages.py
+++ b/galenarill/scheduling/messages.py
@@ -252,6 +252,7 @@
         connections: Connections that it accepts.
         running: Attempts that it runs.
         leaving: Whether it departs.
+        seen: Stamp of the last reply that it had when it made this.
         call: Number that the reply echoes.
     """
 
@@ -265,6 +266,7 @@
     connections: int
     running: tuple[AttemptId, ...] = ()
     leaving: bool = False
+    seen: str = ""
     call: int = 0
 
 
@@ -274,11 +276,14 @@
     Attributes:
         call: Number of the report.
         accepted: Whether the backend server may get work.
+        stamp: For the next announcement to repeat, as proof that it was made
+            after this reply.
         reason: Why not.
         stop: Attempts that nobody waits for any more.
     """
 
     call: int
     accepted: bool
+    stamp: str
     reason: str = ""
     stop: tuple[AttemptId, ...] = ()
--- a/galenarill/scheduling/scheduler.py
+++ b/galenarill/scheduling/scheduler.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import math
 
 from galenarill.scheduling import messages
 from galenarill.scheduling.permits import (
@@ -12,7 +13,6 @@
 from galenarill.scheduling.policy import SchedulingPolicy
 from galenarill.scheduling.quarantine import FailureComparison
 from galenarill.scheduling.servers import (
-    ORPHAN_REPORTS,
     BackendServer,
     Orphan,
     permit_of,
@@ -138,6 +138,7 @@
         # From here on, no holder of an earlier scheduler can start anything
         # without having registered.
         self._fenced_at = now + SESSION_SECONDS + SESSION_MARGIN_SECONDS
+        self._ready_at = math.inf
         self._holders: dict[VmId, _Holder] = {}
         self._servers: dict[VmId, BackendServer] = {}
         self._pools: dict[PoolId, _Pool] = collections.defaultdict(_Pool)
@@ -251,24 +252,18 @@
         elif server.incarnation != message.incarnation:
             self._restart(server, message.incarnation)
         elif message.sequence <= server.sequence:
-            return messages.ServerReportReply(message.call, True, "repeated")
+            return self._report_reply(message, "", (), now)
         self._move_pool(server, message.pool)
         if message.leaving and not server.is_leaving:
             self._depart(server, "announced its departure")
         server.update(message, now)
-        if message.sequence == 1:
-            # Nothing can have been sent to it before its first announcement.
-            server.known_reports = ORPHAN_REPORTS
-        elif self.is_ready(now):
-            server.known_reports += 1
-        self._compare_running(server, message.running, now)
+        made_after = self._stamp_time(message.seen)
+        if self.is_ready(now) and made_after >= self._ready_at:
+            server.is_known = True
+        self._compare_running(server, message.running, made_after, now)
         self._dirty.add(server.pool)
-        return messages.ServerReportReply(
-            message.call,
-            not refusal,
-            refusal,
-            tuple(a for a in message.running if permit_of(a) in server.orphans),
-        )
+        stop = [a for a in message.running if permit_of(a) in server.orphans]
+        return self._report_reply(message, refusal, tuple(stop), now)
 
     def confirm_stopped(self, vm: VmId, now: float) -> None:
         """End what has no holder on `vm`, which is proved to have stopped."""
@@ -330,7 +325,10 @@
 
     def is_ready(self, now: float) -> bool:
         """Tell whether no unknown holder can start anything any more."""
-        return not self._unregistered or now >= self._fenced_at
+        if not self._unregistered or now >= self._fenced_at:
+            self._ready_at = min(self._ready_at, now)
+            return True
+        return False
 
     def _send(self, holder: VmId, message) -> None:
         self._outbox[holder].append(message)
@@ -453,13 +451,35 @@
                 ),
             )
 
+    def _report_reply(
+        self,
+        message: messages.ServerReport,
+        refusal: str,
+        stop: tuple[AttemptId, ...],
+        now: float,
+    ) -> messages.ServerReportReply:
+        stamp = f"{self._epoch}@{now:.6f}"
+        return messages.ServerReportReply(
+            message.call, not refusal, stamp, refusal, stop
+        )
+
+    def _stamp_time(self, stamp: str) -> float:
+        """Return when this scheduler gave out `stamp`, or minus infinity."""
+        epoch, _, at = stamp.rpartition("@")
+        return float(at) if epoch == self._epoch else -math.inf
+
     def _compare_running(
         self,
         server: BackendServer,
         running: tuple[AttemptId, ...],
+        made_after: float,
         now: float,
     ) -> None:
-        """Match orphans with the attempts that `server` reports."""
+        """Match orphans with the attempts that `server` reports.
+
+        An attempt that is missing from a report made after its holder could
+        last start anything does not run any more.
+        """
         reported = {permit_of(attempt): attempt for attempt in running}
         for permit_id, attempt in reported.items():
             known = (
@@ -472,11 +492,7 @@
                 orphan = Orphan(team_of(attempt), server.pool, fenced_at)
                 self._add_orphan(server, permit_id, orphan, "unknown attempt")
         for permit_id, orphan in list(server.orphans.items()):
-            if permit_id in reported or now < orphan.fenced_at:
-                orphan.reports = 0
-                continue
-            orphan.reports += 1
-            if orphan.reports >= ORPHAN_REPORTS:
+            if permit_id not in reported and made_after >= orphan.fenced_at:
                 self._end_orphan(server, permit_id, now, "not running")
 
     def _count(self, permit_id: PermitId, grant: _Grant) -> None:
--- a/galenarill/scheduling/servers.py
+++ b/galenarill/scheduling/servers.py
@@ -11,14 +11,10 @@
     "permit_of",
     "team_of",
     "SERVER_LEASE_SECONDS",
-    "ORPHAN_REPORTS",
 ]
 
 # Time after its last announcement for which a backend server gets work.
 SERVER_LEASE_SECONDS = 3.0
-# Reports without an orphan's attempts that prove its end: the first may have
-# been made before the attempt began, the second follows the reply to the first.
-ORPHAN_REPORTS = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,13 +25,11 @@
         team: Team that it counts for.
         pool: Pool that it was given in.
         fenced_at: Time from which its last holder can start nothing more.
-        reports: Reports without its attempts that arrived after `fenced_at`.
     """
 
     team: TeamId
     pool: PoolId
     fenced_at: float
-    reports: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,7 +46,7 @@
             own.
         lease_deadline: Time from which it gets no more work.
         is_leaving: Whether it departs.
-        known_reports: Reports since the scheduler could begin to grant.
+        is_known: Whether every attempt that may run on it is counted.
         permits: Permits out.
         orphans: Permits without a holder that may still run.
     """
@@ -65,7 +59,7 @@
     slots: int
     lease_deadline: float
     is_leaving: bool = False
-    known_reports: int = 0
+    is_known: bool = False
     permits: set[PermitId] = dataclasses.field(default_factory=set)
     orphans: dict[PermitId, Orphan] = dataclasses.field(default_factory=dict)
 
@@ -74,11 +68,6 @@
         """Slots that are or may be in use."""
         return len(self.permits) + len(self.orphans)
 
-    @property
-    def is_known(self) -> bool:
-        """Whether every attempt that may run on it is counted."""
-        return self.known_reports >= ORPHAN_REPORTS
-
     @property
     def free(self) -> int:
         """Slots that may be granted, negative after a takeover or cut."""
--- a/standins/server.py
+++ b/standins/server.py
@@ -71,7 +71,7 @@
         self.is_silent = False
         self.is_leaving = False
         self.address = ""
-        self._open_connections = 0
+        self._seen = ""
         self._sequence = itertools.count(1)
         self._runner: web.AppRunner | None = None
         self._task: asyncio.Task | None = None
@@ -190,6 +190,7 @@
             "connections": self.connections,
             "running": list(self.running),
             "leaving": self.is_leaving,
+            "seen": self._seen,
         }
         try:
             async with session.post(
@@ -197,7 +198,8 @@
             ) as response:
                 if response.status != 200:
                     return False
-                self.pool = (await response.json())["pool"]
+                reply = await response.json()
+                self.pool, self._seen = reply["pool"], reply["stamp"]
                 return True
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
