--- a/galenarill/scheduling/tests/test_slots_machine.py
+++ b/galenarill/scheduling/tests/test_slots_machine.py
@@ -300,9 +300,7 @@
         self.advance(0.3)
         self.new_scheduler()
 
-    @rule(
-        vm=st.sampled_from(HOLDERS), quiet=st.sampled_from([0.1, 0.5, 2.5])
-    )
+    @rule(vm=st.sampled_from(HOLDERS), quiet=st.sampled_from([0.1, 0.5, 2.5]))
     def take_over_from_idle(self, vm, quiet):
         """A cut holder has an idle permit when the scheduler changes."""
         self.heal()
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,77 @@
+"""Fleets of real processes for the integration tests."""
+
+import asyncio
+import pathlib
+import tempfile
+import time
+
+from standins.fleet import LocalFleet
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
+BASE = EXAMPLES / "base.toml"
+SITE = EXAMPLES / "printworks" / "site.toml"
+
+
+def run_with_fleet(scenario, *, limit=150, **options):
+    """Run a coroutine function on a new fleet, with a bound on its time."""
+
+    async def run():
+        with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+            fleet = LocalFleet(pathlib.Path(folder), BASE, SITE, **options)
+            async with asyncio.timeout(limit), fleet:
+                await scenario(fleet)
+
+    asyncio.run(run())
+
+
+async def eventually(condition, seconds, what):
+    """Wait until an asynchronous condition holds, and return how long."""
+    began_at = time.monotonic()
+    while not await condition():
+        if time.monotonic() > began_at + seconds:
+            raise AssertionError(f"not within {seconds} s: {what}")
+        await asyncio.sleep(0.05)
+    return time.monotonic() - began_at
+
+
+def executions(fleet, request_id):
+    """Return what the backend servers' own records say of a request."""
+    return [
+        execution
+        for server in fleet.servers.values()
+        for execution in server.executions
+        if execution.request == request_id
+    ]
+
+
+def most_running_by_team(fleet):
+    """Return the most attempts that each team had running at once."""
+    events = []
+    for server in fleet.servers.values():
+        for execution in server.executions:
+            events.append((execution.began_at, 1, execution.team))
+            end = execution.ended_at or float("inf")
+            events.append((end, -1, execution.team))
+    running, most = {}, {}
+    # At equal times an end counts before a start.
+    for _, change, team in sorted(events):
+        running[team] = running.get(team, 0) + change
+        most[team] = max(most.get(team, 0), running[team])
+    return most
+
+
+def assert_limits_held(fleet):
+    """Check slots and upper limits against the backend servers' records."""
+    for server in fleet.servers.values():
+        assert server.most_running <= server.slots, server.vm
+    limits = {
+        "municipal": 60,
+        "hospital": 48,
+        "shopping": 40,
+        "proofing": 24,
+        "batch": 24,
+        "walk-in": 12,
+    }
+    for team, most in most_running_by_team(fleet).items():
+        if team:
+            assert most <= limits[team], f"{team} ran {most}"
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,130 @@
+"""The control path with real processes: races, restarts and lost answers."""
+
+import asyncio
+import json
+import random
+import signal
+
+import aiohttp
+
+from tests.fleets import eventually, run_with_fleet
+
+
+def test_control_path():
+    run_with_fleet(_scenario, entry_vms_per_zone=2)
+
+
+async def _scenario(fleet):
+    await _operators_race(fleet)
+    await _resend(fleet)
+    await _invalid(fleet)
+    await _roles(fleet)
+    await _restarts(fleet)
+
+
+async def _edit(fleet, vm, path, value, headers=None):
+    body = {"edits": [{"path": path, "value": value}]}
+    return await fleet.admin(
+        "POST", "settings", vm, json=body, headers=dict(headers or {})
+    )
+
+
+async def _operators_race(fleet):
+    """Of two edits of one number on one version, one gets a conflict."""
+    _, shown = await fleet.admin("GET", "settings")
+    based_on = {"If-Match": str(shown["version"])}
+    path = ["teams", "batch", "share"]
+    first, second = list(fleet.entry_vms)[:2]
+    results = await asyncio.gather(
+        _edit(fleet, first, path, 7, based_on),
+        _edit(fleet, second, path, 8, based_on),
+    )
+    assert sorted(status for status, _ in results) == [200, 409]
+    conflict = next(body for status, body in results if status == 409)
+    assert "7" in conflict["detail"] and "8" in conflict["detail"]
+    # An edit of another number on the same version is no conflict.
+    status, _ = await _edit(
+        fleet, first, ["teams", "walk-in", "share"], 2, based_on
+    )
+    assert status == 200
+
+
+async def _resend(fleet):
+    """A resend after a lost answer returns the first outcome."""
+    path = ["queues", "orders", "max_waiting"]
+    headers = {"Galenarill-Change-Id": "change-1"}
+    vms = list(fleet.entry_vms)
+    _, first = await _edit(fleet, vms[0], path, 500, headers)
+    await _edit(fleet, vms[1], path, 600)
+    _, again = await _edit(fleet, vms[2], path, 500, headers)
+    assert again == first
+    _, shown = await fleet.admin("GET", "settings")
+    assert shown["settings"]["queues"]["orders"]["max_waiting"] == 600
+
+
+async def _invalid(fleet):
+    body = {
+        "edits": [
+            {"path": ["teams", "batch", "share"], "value": -1},
+            {"path": ["queues", "orders", "pool"], "value": "nowhere"},
+        ]
+    }
+    status, answer = await fleet.admin("POST", "settings", json=body)
+    assert status == 422
+    assert [fault["path"] for fault in answer["faults"]] == [
+        "queues.orders.pool",
+        "teams.batch.share",
+    ]
+
+
+async def _roles(fleet):
+    url = f"http://{next(iter(fleet.entry_vms.values())).callers}/v1/admin"
+    for headers in ({}, {"Authorization": f"Bearer {fleet.keys['batch']}"}):
+        async with fleet.session.get(
+            f"{url}/status", headers=headers
+        ) as response:
+            assert response.status == 401
+
+
+async def _restarts(fleet):
+    """Versions never fall while processes restart after many changes."""
+    rng = random.Random(3)
+    highest = dict.fromkeys(fleet.entry_vms, 0)
+    value = 0
+    accepted = 0
+    for round_ in range(6):
+        for _ in range(50):
+            value += 1
+            vm = rng.choice(list(fleet.entry_vms))
+            try:
+                status, _ = await _edit(
+                    fleet, vm, ["queues", "batch", "max_waiting"], value
+                )
+            except aiohttp.ClientError:
+                continue
+            accepted += status == 200
+        victims = rng.sample(list(fleet.entry_vms), 2 if round_ % 2 else 1)
+        for vm in victims:
+            await fleet.stop_entry_vm(vm, signal.SIGKILL)
+        for vm in victims:
+            await fleet.start_entry_vm(vm)
+
+        async def all_equal():
+            statuses = await fleet.statuses()
+            for vm, status in statuses.items():
+                version = status["version"]
+                if status["is_fresh"]:
+                    assert version >= highest[vm], f"{vm} went back"
+                    highest[vm] = version
+            versions = {s["version"] for s in statuses.values()}
+            return len(statuses) == len(fleet.entry_vms) and (
+                len(versions) == 1
+            )
+
+        await eventually(all_equal, 20, "every entry VM has caught up")
+    assert accepted >= 290
+    status, shown = await fleet.admin("GET", "settings")
+    assert status == 200
+    assert shown["settings"]["queues"]["batch"]["max_waiting"] == value
+    _, history = await fleet.admin("GET", "history")
+    assert json.dumps(history).count("EditSettings") >= accepted
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,219 @@
+"""Requests through real entry VMs: answers, refusals, ids and cancellation."""
+
+import asyncio
+import hashlib
+import json
+
+import aiohttp
+
+from tests.fleets import eventually, executions, run_with_fleet
+
+
+def test_requests():
+    run_with_fleet(_scenario)
+
+
+async def _scenario(fleet):
+    for check in (
+        _large_bodies,
+        _broken_answer,
+        _no_answer_in_time,
+        _refusals,
+        _asynchronous,
+        _same_id_everywhere,
+        _issued_ids,
+        _cancelled_wave,
+        _retries,
+        _open_queue,
+        _limit_in_old_units,
+    ):
+        print(check.__name__)
+        await check(fleet)
+
+
+async def _large_bodies(fleet):
+    vm = next(iter(fleet.entry_vms))
+    body = bytes(range(256)) * 20_000
+    status, _, data = await fleet.submit(vm, "render", "municipal", data=body)
+    answer = json.loads(data)
+    assert status == 200
+    assert answer["digest"] == hashlib.sha256(body).hexdigest()
+    status, _, data = await fleet.submit(
+        vm, "render", "municipal", tail="big?bytes=3000000"
+    )
+    assert (status, len(data)) == (200, 3_000_000)
+
+
+async def _broken_answer(fleet):
+    """A caller can tell a part of an answer from the whole."""
+    for vm in fleet.entry_vms:
+        try:
+            await fleet.submit(vm, "render", "municipal", tail="x?cut=1")
+        except aiohttp.ClientError:
+            continue
+        raise AssertionError("a broken answer looked whole")
+
+
+async def _no_answer_in_time(fleet):
+    vm = next(iter(fleet.entry_vms))
+    status, _, data = await fleet.submit(
+        vm,
+        "render",
+        "municipal",
+        tail="x?sleep=1.5",
+        headers={"Galenarill-Timeout-Seconds": "0.3"},
+    )
+    assert (status, json.loads(data)["run"]) == (504, "unknown")
+
+
+async def _refusals(fleet):
+    vm = next(iter(fleet.entry_vms))
+    expected = {
+        ("render", None): (401, "key-missing"),
+        ("nowhere", "municipal"): (404, "no-queue"),
+    }
+    for (queue, team), (want_status, want_kind) in expected.items():
+        status, headers, data = await fleet.submit(vm, queue, team, data=b"x")
+        problem = json.loads(data)
+        assert status == want_status
+        assert headers["Content-Type"] == "application/problem+json"
+        assert problem["type"].endswith(want_kind)
+        assert problem["run"] == "not-run"
+    for headers in (
+        {"Galenarill-Timeout-Seconds": "-1"},
+        {"Galenarill-Timeout-Seconds": "nan"},
+        {"Galenarill-Idempotent": "perhaps"},
+        {"Galenarill-Request-Id": "a b"},
+        {"Galenarill-Request-Id": "x" * 500},
+    ):
+        status, _, data = await fleet.submit(
+            vm, "render", "municipal", headers=dict(headers)
+        )
+        assert status == 400, headers
+        assert json.loads(data)["run"] == "not-run"
+
+
+async def _asynchronous(fleet):
+    first, second = list(fleet.entry_vms)[:2]
+    status, headers, _ = await fleet.submit(
+        first,
+        "render",
+        "municipal",
+        tail="x?sleep=0.5&tag=later",
+        headers={"Prefer": "respond-async"},
+    )
+    assert status == 202
+    key = {"Authorization": f"Bearer {fleet.keys['municipal']}"}
+    other = {"Authorization": f"Bearer {fleet.keys['hospital']}"}
+    # Another entry VM finds the answer, and another team does not get it.
+    url = f"http://{fleet.entry_vms[second].callers}{headers['Location']}"
+    async with fleet.session.get(url, headers=key) as response:
+        assert response.status == 200
+        assert (await response.json())["tag"] == "later"
+    async with fleet.session.get(url, headers=other) as response:
+        assert response.status in (404, 409)
+
+
+async def _issue_id(fleet, vm):
+    url = f"http://{fleet.entry_vms[vm].callers}/v1/request-ids"
+    async with fleet.session.post(url) as response:
+        return (await response.json())["request_ids"][0]
+
+
+async def _same_id_everywhere(fleet):
+    """Sent to every entry VM at once, twice, a request runs once."""
+    for _ in range(5):
+        vms = list(fleet.entry_vms)
+        request_id = await _issue_id(fleet, vms[0])
+        results = await asyncio.gather(
+            *(
+                fleet.submit(
+                    vm,
+                    "render",
+                    "hospital",
+                    tail="x?sleep=0.2&tag=once",
+                    headers={"Galenarill-Request-Id": request_id},
+                )
+                for vm in vms + vms
+            )
+        )
+        assert len(executions(fleet, request_id)) == 1
+        answered = [json.loads(d) for s, _, d in results if s == 200]
+        assert answered
+        assert {answer["tag"] for answer in answered} == {"once"}
+        for status, _, data in results:
+            if status != 200:
+                assert json.loads(data)["run"] == "unknown", data
+
+
+async def _issued_ids(fleet):
+    url = f"http://{next(iter(fleet.entry_vms.values())).callers}"
+    async with fleet.session.post(f"{url}/v1/request-ids?count=50") as response:
+        ids = (await response.json())["request_ids"]
+    assert len(set(ids)) == 50
+    async with fleet.session.post(f"{url}/v1/request-ids?count=x") as response:
+        assert response.status == 400
+
+
+async def _cancelled_wave(fleet):
+    """Hundreds of waiting requests are cancelled in one call."""
+    vm = next(iter(fleet.entry_vms))
+    headers = {"Prefer": "respond-async", "Galenarill-Timeout-Seconds": "60"}
+    ids = []
+    for _ in range(300):
+        status, _, data = await fleet.submit(
+            vm, "batch", "batch", tail="x?sleep=1", headers=dict(headers)
+        )
+        assert status == 202
+        ids.append(json.loads(data)["request_id"])
+    key = {"Authorization": f"Bearer {fleet.keys['batch']}"}
+    url = f"http://{fleet.entry_vms[vm].callers}/v1/cancellations"
+    async with fleet.session.post(
+        url, headers=key, json={"request_ids": ids}
+    ) as response:
+        runs = (await response.json())["run"]
+    not_run = [i for i in ids if runs[i] == "not-run"]
+    assert len(not_run) > 200
+    await asyncio.sleep(1.5)
+    assert not any(executions(fleet, i) for i in not_run)
+
+
+async def _retries(fleet):
+    """An idempotent request goes elsewhere; another one does not."""
+    vm = next(iter(fleet.entry_vms))
+    broken = fleet.servers["proofs-a1"]
+    broken.fails_everything = True
+    for number in range(40):
+        status, headers, _ = await fleet.submit(
+            vm, "proofs", "municipal", method="PUT", tail=f"x?tag={number}"
+        )
+        assert status == 200
+        request_id = headers["Galenarill-Request-Id"]
+        assert 1 <= len(executions(fleet, request_id)) <= 3
+    for _ in range(20):
+        status, headers, _ = await fleet.submit(vm, "proofs", "municipal")
+        assert len(executions(fleet, headers["Galenarill-Request-Id"])) == 1
+
+    async def is_quarantined():
+        before = len(broken.executions)
+        for _ in range(10):
+            await fleet.submit(vm, "proofs", "municipal", method="PUT")
+        return len(broken.executions) == before
+
+    await eventually(is_quarantined, 20, "the broken server is left out")
+    broken.fails_everything = False
+
+
+async def _open_queue(fleet):
+    vm = next(iter(fleet.entry_vms))
+    status, _, data = await fleet.submit(vm, "notices", None, data=b"x")
+    assert status == 200
+    assert json.loads(data)["team"] == ""
+
+
+async def _limit_in_old_units(fleet):
+    _, status = await fleet.admin("GET", "status")
+    hospital = status["teams"]["hospital"]
+    # 64 units of 1.5 processors and 6 GiB are 48 slots of 2 and 8.
+    assert hospital["upper_limit_slots"] == 48
+    assert hospital["contract"]["upper_limit_in_units"] == "64"
