Form a log with a single voter

Cause: a blank voter checked for completeness only when a peer identified itself, so a fleet with one voter never got a leader (seen in make bench). Change: the check also runs on each tick; test with one voter.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; run them with `make bench`."""
--- /dev/null
+++ b/benchmarks/added_cost.py
@@ -0,0 +1,122 @@
+"""Cost of galenarill against a bare pass-through to the same server."""
+
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+import time
+
+import aiohttp
+
+from benchmarks.figures import median, process_usage, quantile, show
+from standins.fleet import LocalFleet, free_port
+
+BASE = pathlib.Path("examples/base.toml")
+SITE = pathlib.Path("examples/printworks/site.toml")
+SECONDS = 4.0
+ROUNDS = 5
+CALLERS = 32
+
+
+async def _load(url: str, headers: dict, callers: int) -> list[float]:
+    """Send requests for some seconds and return each one's latency."""
+    latencies = []
+    end = time.perf_counter() + SECONDS
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0)
+    ) as session:
+
+        async def call() -> None:
+            while time.perf_counter() < end:
+                began_at = time.perf_counter()
+                async with session.post(
+                    url, data=b"x" * 200, headers=headers
+                ) as answer:
+                    await answer.read()
+                    if answer.status != 200:
+                        raise RuntimeError(f"status {answer.status}")
+                latencies.append(time.perf_counter() - began_at)
+
+        await asyncio.gather(*(call() for _ in range(callers)))
+    return latencies
+
+
+async def _measure(url, headers, pid, callers):
+    before = process_usage(pid).cpu_seconds
+    latencies = await _load(url, headers, callers)
+    cpu = process_usage(pid).cpu_seconds - before
+    return (
+        len(latencies) / cpu,
+        len(latencies) / SECONDS,
+        median(latencies) * 1000,
+        quantile(latencies, 0.99) * 1000,
+    )
+
+
+async def run() -> None:
+    """Print requests per second and core, and latencies, as ratios."""
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+        fleet = LocalFleet(
+            pathlib.Path(folder),
+            BASE,
+            SITE,
+            zones=("az-a",),
+            with_servers=False,
+        )
+        entry = next(iter(fleet.entry_vms.values()))
+        port = free_port()
+        config = {
+            "entry_vms": [entry.callers],
+            "slots": 64,
+            "vms": [{"id": "render-a1", "pool": "render", "port": port}],
+        }
+        async with fleet:
+            echo = await _spawn("standins.echo", json.dumps(config))
+            proxy_port = free_port()
+            proxy = await _spawn(
+                "standins.passthrough", str(proxy_port), f"127.0.0.1:{port}"
+            )
+            try:
+                await asyncio.sleep(4)
+                await _compare(fleet, entry, proxy, proxy_port)
+            finally:
+                for process in (echo, proxy):
+                    process.kill()
+                    await process.wait()
+
+
+async def _compare(fleet, entry, proxy, proxy_port) -> None:
+    key = {"Authorization": f"Bearer {fleet.keys['municipal']}"}
+    ours = f"http://{entry.callers}/v1/queues/render/work"
+    bare = f"http://127.0.0.1:{proxy_port}/work"
+    for callers in (CALLERS, 1):
+        pairs = []
+        for _ in range(ROUNDS):
+            one = await _measure(ours, key, entry.process.pid, callers)
+            other = await _measure(bare, {}, proxy.pid, callers)
+            pairs.append((one, other))
+        name = f"added_cost_{callers}_callers"
+        for place, figure, unit in (
+            (0, "requests_per_core_second", "1/s"),
+            (1, "requests_per_second", "1/s"),
+            (2, "p50", "ms"),
+            (3, "p99", "ms"),
+        ):
+            show(f"{name}_{figure}", median([a[place] for a, _ in pairs]), unit)
+            show(
+                f"{name}_{figure}_ratio",
+                median([a[place] / b[place] for a, b in pairs]),
+                "x",
+            )
+
+
+async def _spawn(module: str, *args: str) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        module,
+        *args,
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
--- a/galenarill/consensus/replica.py
+++ b/galenarill/consensus/replica.py
@@ -249,6 +249,8 @@
             self._identify_deadline = now + IDENTIFY_SECONDS
             if self._is_blank or not self.is_voter:
                 self._broadcast_identity()
+            if self._is_blank:
+                self._form_if_complete()
         if self.is_voter and now >= self._election_deadline:
             self._stand(now, is_pre_vote=True)
 
@@ -385,14 +387,15 @@
             self._blank_disks.pop(sender, None)
             return
         self._blank_disks[sender] = message.disk
+        self._form_if_complete()
+
+    def _form_if_complete(self) -> None:
+        """Begin a new log if every configured voter is known to be blank."""
         disks = {**self._blank_disks, self._vm: self._disk}
-        if self._vm in self._initial_voters and (
-            disks.keys() >= self._initial_voters
+        if self._vm not in self._initial_voters or (
+            not disks.keys() >= self._initial_voters
         ):
-            self._form(disks)
-
-    def _form(self, disks: dict[VmId, str]) -> None:
-        """Begin a new log with every configured voter."""
+            return
         voters = {vm: disks[vm] for vm in sorted(self._initial_voters)}
         snapshot = Snapshot(0, 0, Configuration(voters), b"")
         self._broadcast_identity()
--- a/galenarill/consensus/tests/test_replica.py
+++ b/galenarill/consensus/tests/test_replica.py
@@ -252,6 +252,22 @@
         assert "last" in self.history
 
 
+def test_single_voter_forms_a_log():
+    replica = Replica(
+        "v1", frozenset(), frozenset({"v1"}), "d1", random.Random(1), 0.0
+    )
+    for step in range(100):
+        replica.tick(step * 0.05)
+        replica.take_ready()
+        replica.synced(replica.log.last_index, step * 0.05)
+    assert replica.role is Role.LEADER
+    assert replica.is_confirmed(5.0)
+    index = replica.propose(b"x")
+    replica.take_ready()
+    replica.synced(index, 5.0)
+    assert replica.commit == index
+
+
 TestLog = LogMachine.TestCase
 TestLog.settings = settings(
     max_examples=40,
--- a/standins/server.py
+++ b/standins/server.py
@@ -104,6 +104,19 @@
         self._sequence = itertools.count(1)
         await self.start(port)
 
+    def describe(self) -> dict:
+        """Return the record of this server, for another process."""
+        return {
+            "vm": self.vm,
+            "pool": self.pool,
+            "most_running": self.most_running,
+            "most_connections": self.most_connections,
+            "executions": [
+                [e.request, e.team, e.began_at, e.ended_at]
+                for e in self.executions
+            ],
+        }
+
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         execution = Execution(
             request.headers.get("Galenarill-Request-Id", ""),
