Cut the cost of a request that finds an idle permit

Change: a request takes an idle permit without a queue entry or future; the pump runs only when there is output; small answers go out in one write; small bodies that have arrived are taken without a timer; ids need no random bytes each.

--- a/galenarill/claims/ids.py
+++ b/galenarill/claims/ids.py
@@ -1,5 +1,6 @@
 """Request ids, and the entry VMs that keep the claim on each."""
 
+import itertools
 import secrets
 from collections.abc import Mapping
 
@@ -10,7 +11,7 @@
     rendezvous_order,
 )
 
-__all__ = ["new_request_id", "issued_at", "claim_group", "is_valid_id"]
+__all__ = ["RequestIds", "issued_at", "claim_group", "is_valid_id"]
 
 ISSUED_PREFIX = "glr"
 MAX_ID_LENGTH = 128
@@ -18,28 +19,32 @@
 GROUP_SIZE = 3
 
 
-def new_request_id(
-    availability_zone: AvailabilityZoneId, unix_time: float
-) -> RequestId:
-    """Issue a request id whose claim is kept in `availability_zone`.
-
-    Args:
-        availability_zone: Zone of the entry VM that issues it.
-        unix_time: Time of issue in seconds.
-
-    Returns:
-        The id.
+class RequestIds:
+    """Issues request ids whose claims are kept in one zone.
 
     Example:
-        >>> request = new_request_id("az-a", 1000.5)
+        >>> request = RequestIds("az-a").issue(1000.5)
         >>> issued_at(request)
         1000.5
     """
-    milliseconds = int(unix_time * 1000)
-    token = secrets.token_hex(8)
-    return RequestId(
-        f"{ISSUED_PREFIX}.{availability_zone}.{milliseconds:x}.{token}"
-    )
+
+    def __init__(self, availability_zone: AvailabilityZoneId):
+        """Issue ids for `availability_zone` that no other process issues."""
+        self._prefix = f"{ISSUED_PREFIX}.{availability_zone}"
+        self._process = secrets.token_hex(6)
+        self._numbers = itertools.count(1)
+
+    def issue(self, unix_time: float) -> RequestId:
+        """Return a new id.
+
+        Args:
+            unix_time: Time of issue in seconds.
+        """
+        milliseconds = int(unix_time * 1000)
+        number = next(self._numbers)
+        return RequestId(
+            f"{self._prefix}.{milliseconds:x}.{self._process}{number:x}"
+        )
 
 
 def issued_at(request: RequestId) -> float | None:
--- a/galenarill/consensus/replica.py
+++ b/galenarill/consensus/replica.py
@@ -521,6 +521,8 @@
         ):
             self._become_follower(self.term, None, now)
             return
+        if self._may_confirm(now):
+            self._confirmed_commit = self._commit
         for peer, progress in self._progress.items():
             if now < progress.heartbeat_deadline:
                 continue
--- a/galenarill/entry/callers.py
+++ b/galenarill/entry/callers.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from galenarill.claims import ClaimResult, is_valid_id, new_request_id
+from galenarill.claims import ClaimResult, RequestIds, is_valid_id
 from galenarill.entry.answers import Answer, AnswerState, AnswerStore
 from galenarill.entry.claims import Claims
 from galenarill.entry.execution import (
@@ -95,7 +95,8 @@
     ):
         """Make the interface of one entry VM."""
         self._loop = asyncio.get_running_loop()
-        self._az = AvailabilityZoneId(settings.own.availability_zone)
+        az = AvailabilityZoneId(settings.own.availability_zone)
+        self._ids = RequestIds(az)
         self._peers = {VmId(p.id): p.callers for p in settings.entry_vms}
         self._vm = VmId(settings.vm)
         self._get_state = get_state
@@ -141,7 +142,7 @@
         if not text.isdigit() or not 0 < int(text) <= MAX_ISSUED_IDS:
             detail = f"count must be from 1 to {MAX_ISSUED_IDS}, not {text!r}"
             return problem(400, "bad-request", detail)
-        ids = [new_request_id(self._az, time.time()) for _ in range(int(text))]
+        ids = [self._ids.issue(time.time()) for _ in range(int(text))]
         return web.json_response({"request_ids": ids}, status=201)
 
     async def _submit(self, request: web.Request) -> web.StreamResponse:
@@ -236,7 +237,7 @@
             raise _BadRequest(f"Galenarill-Request-Id {own_id!r} is not valid")
         deadline = self._loop.time() + _timeout_seconds(request)
         return RequestSpec(
-            request=RequestId(own_id or new_request_id(self._az, time.time())),
+            request=RequestId(own_id or self._ids.issue(time.time())),
             team=team,
             queue=queue_id,
             pool=PoolId(queue.pool),
@@ -451,12 +452,27 @@
         self._is_leaving = is_leaving
         self.response: web.StreamResponse | None = None
 
-    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
-        self.response = web.StreamResponse(status=status)
-        self.response.headers.extend(headers)
-        self.response.headers["Galenarill-Request-Id"] = self._request_id
+    async def whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        # The handler returns it, and aiohttp sends head and body at once.
+        self._set_response(web.Response(status=status, body=body), headers)
+
+    def _set_response(
+        self, response: web.StreamResponse, headers: list[tuple[str, str]]
+    ) -> None:
+        self.response = response
+        for name, value in headers:
+            if name != "Content-Length" or not isinstance(
+                response, web.Response
+            ):
+                response.headers.add(name, value)
+        response.headers["Galenarill-Request-Id"] = self._request_id
         if self._is_leaving:
-            self.response.force_close()
+            response.force_close()
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self._set_response(web.StreamResponse(status=status), headers)
         with _caller_gone():
             await self.response.prepare(self._request)
 
@@ -486,6 +502,14 @@
         """Go on without the caller."""
         self._live = None
 
+    async def whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        self._answer.begin(status, headers)
+        self._answer.write(body)
+        self._answer.end(AnswerState.COMPLETE)
+        await self._pass_on("whole", status, headers, body)
+
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         self._answer.state = AnswerState.RUNNING
         self._answer.begin(status, headers)
@@ -599,6 +623,11 @@
             f"the body has {request.content_length} bytes, more than "
             f"{MAX_BODY_BYTES}"
         )
+    if request.content.is_eof() and (
+        request.content.total_bytes <= MAX_KEPT_BODY_BYTES
+    ):
+        # All of it is here, so that nothing has to be waited for.
+        return RequestBody(request.content.read_nowait(), None)
     loop = asyncio.get_running_loop()
     limit = min(deadline, loop.time() + BODY_SECONDS)
     kept = bytearray()
--- a/galenarill/entry/control.py
+++ b/galenarill/entry/control.py
@@ -88,7 +88,7 @@
     @property
     def is_current(self) -> bool:
         """Whether the state is as new as any that this VM may have had."""
-        return self._replica.is_current() or self.is_leader
+        return self._replica.is_current()
 
     def tick(self) -> None:
         """Let time pass."""
--- a/galenarill/entry/execution.py
+++ b/galenarill/entry/execution.py
@@ -30,6 +30,8 @@
 
 MAX_SERVERS_PER_REQUEST = 3
 BODY_SILENCE_SECONDS = 20.0
+# Answers up to this size are read whole, which saves two writes.
+SMALL_ANSWER_BYTES = 64 * 1024
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -135,6 +137,14 @@
     Each method raises `CallerGoneError` when nobody listens any more.
     """
 
+    async def whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Take a complete answer."""
+        await self.begin(status, headers)
+        await self.write(body)
+        await self.finish()
+
     @abc.abstractmethod
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Take the head of the answer."""
@@ -271,7 +281,15 @@
                 await response.read()
                 release(failed=True)
                 return _AttemptResult.FAILED
-            await sink.begin(status, _answer_headers(response))
+            headers = _answer_headers(response)
+            if (response.content_length or SMALL_ANSWER_BYTES + 1) <= (
+                SMALL_ANSWER_BYTES
+            ):
+                body = await response.read()
+                release(failed=is_failure)
+                await sink.whole(status, headers, body)
+                return _AttemptResult.ANSWERED
+            await sink.begin(status, headers)
             has_begun = True
             async for chunk in response.content.iter_any():
                 await sink.write(chunk)
--- a/galenarill/entry/slots.py
+++ b/galenarill/entry/slots.py
@@ -149,11 +149,15 @@
         now = self._loop.time()
         self._active_deadline = now + ACTIVE_SECONDS
         self._refuse_hopeless(pool, team, deadline, now)
+        start = self._holder.submit(
+            request, pool, team, deadline, now, excluded
+        )
+        if start is not None:
+            return start
         future = self._loop.create_future()
         self._futures[request] = future
-        self._holder.submit(request, pool, team, deadline, now, excluded)
         self._open_sessions(now)
-        self.pump()
+        self._schedule_pump()
         try:
             return await future
         except asyncio.CancelledError:
@@ -179,7 +183,8 @@
         self._holder.finish(
             permit_id, self._loop.time(), failed=failed, running=running
         )
-        self.pump()
+        if self._holder.has_output:
+            self._schedule_pump()
 
     async def report(self, message: m.ServerReport) -> m.ServerReportReply:
         """Pass a backend server's announcement to its zone's scheduler.
@@ -289,21 +294,28 @@
         # What the holder sends to a scheduler on this VM may have an effect on
         # the holder at once; two turns settle that.
         for _ in range(2):
-            for permit_id in self._holder.take_gone():
-                self._on_gone(permit_id)
-            for zone, message in self._holder.take_messages(now):
-                scheduler = self._schedulers.get(zone)
-                if scheduler is not None:
-                    self._send(scheduler[0], message)
-            if self._scheduler is not None and self._may_grant(now):
-                self._scheduler.allocate(now)
+            self._pump_holder(now)
             if self._scheduler is not None:
-                for holder, batch in self._scheduler.take_messages().items():
-                    for message in batch:
-                        self._send(holder, message)
-                self._log_decisions()
+                self._pump_scheduler(now)
         self._deliver(now)
 
+    def _pump_holder(self, now: float) -> None:
+        for permit_id in self._holder.take_gone():
+            self._on_gone(permit_id)
+        for zone, message in self._holder.take_messages(now):
+            scheduler = self._schedulers.get(zone)
+            if scheduler is not None:
+                self._send(scheduler[0], message)
+
+    def _pump_scheduler(self, now: float) -> None:
+        scheduler = self._scheduler
+        if scheduler.has_work and self._may_grant(now):
+            scheduler.allocate(now)
+        for holder, batch in scheduler.take_messages().items():
+            for message in batch:
+                self._send(holder, message)
+        self._log_decisions()
+
     def _deliver(self, now: float) -> None:
         for start in self._holder.take_starts():
             pair = (start.permit.pool, start.permit.team)
--- a/galenarill/scheduling/permits.py
+++ b/galenarill/scheduling/permits.py
@@ -164,6 +164,17 @@
         """Permits held, by id."""
         return self._permits
 
+    @property
+    def has_output(self) -> bool:
+        """Whether a `take_` method has anything to give out."""
+        return bool(
+            self._changed
+            or self._returned
+            or self._starts
+            or self._expired
+            or self._gone
+        )
+
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
@@ -192,8 +203,8 @@
         deadline: float,
         now: float,
         excluded: frozenset[VmId] = frozenset(),
-    ) -> None:
-        """Let `request` wait for a slot, or start it on an idle permit.
+    ) -> Start | None:
+        """Start `request` on an idle permit, or let it wait for a slot.
 
         Args:
             request: Id that is not waiting.
@@ -202,17 +213,23 @@
             deadline: Time until which it may start.
             now: Time in seconds.
             excluded: Backend servers on which it has failed.
+
+        Returns:
+            The start, or None if the request waits.
         """
         pair = (pool, team)
+        if pair not in self._waiting:
+            # The latest permit first, so that the others can go back.
+            for record in reversed(self._idle[pair].values()):
+                if self._can_start(record, excluded, now):
+                    return self._start(record, request)
         waiter = _Waiter(request, deadline, now + SPILL_SECONDS, excluded)
         queue = self._waiting.setdefault(pair, collections.OrderedDict())
         queue[request] = waiter
         self._pair_of[request] = pair
         heapq.heappush(self._deadlines, (deadline, request))
         self._changed.add(pair)
-        for record in reversed(list(self._idle[pair].values())):
-            if self._serve(record, now):
-                return
+        return None
 
     def cancel(self, request: RequestId) -> bool:
         """Take a request out of the queue.
@@ -459,26 +476,32 @@
 
     def _serve(self, record: HeldPermitRecord, now: float) -> bool:
         """Start the first request that may run on `record`, if there is one."""
-        if record.recalled or not self.is_session_valid(
-            record.availability_zone, now
-        ):
-            return False
-        permit = record.permit
-        pair = (permit.pool, permit.team)
+        pair = (record.permit.pool, record.permit.team)
         for waiter in self._waiting.get(pair, {}).values():
-            if permit.server not in waiter.excluded:
-                break
-        else:
-            return False
-        self.cancel(waiter.request)
-        self._idle[pair].pop(permit.permit_id, None)
+            if self._can_start(record, waiter.excluded, now):
+                self.cancel(waiter.request)
+                self._starts.append(self._start(record, waiter.request))
+                return True
+        return False
+
+    def _can_start(
+        self, record: HeldPermitRecord, excluded: frozenset[VmId], now: float
+    ) -> bool:
+        return (
+            not record.recalled
+            and record.permit.server not in excluded
+            and self.is_session_valid(record.availability_zone, now)
+        )
+
+    def _start(self, record: HeldPermitRecord, request: RequestId) -> Start:
+        permit = record.permit
+        self._idle[permit.pool, permit.team].pop(permit.permit_id, None)
         record.state = PermitState.BUSY
         record.attempts += 1
         attempt = AttemptId(
             f"{permit.permit_id}.{record.attempts}~{permit.team}"
         )
-        self._starts.append(Start(waiter.request, permit, attempt))
-        return True
+        return Start(request, permit, attempt)
 
     def _give_back(
         self, record: HeldPermitRecord, running: tuple[AttemptId, ...]
--- a/galenarill/scheduling/scheduler.py
+++ b/galenarill/scheduling/scheduler.py
@@ -163,6 +163,11 @@
         """Backend servers known, by VM."""
         return self._servers
 
+    @property
+    def has_work(self) -> bool:
+        """Whether `allocate` has anything to look at."""
+        return bool(self._dirty)
+
     def running(self, team: TeamId) -> int:
         """Return how many slots count for `team`."""
         return self._running[team]
