Keep the time of service free before a request's deadline

Cause: in the burst, 553 of 3,948 requests started so late that their deadline passed while they ran; they were answered with an unknown outcome, and their slots were wasted.

--- a/benchmarks/added_cost.py
+++ b/benchmarks/added_cost.py
@@ -72,9 +72,9 @@
             "vms": [{"id": "render-a1", "pool": "render", "port": port}],
         }
         async with fleet:
-            echo = await _spawn("standins.echo", json.dumps(config))
+            echo = await spawn("standins.echo", json.dumps(config))
             proxy_port = free_port()
-            proxy = await _spawn(
+            proxy = await spawn(
                 "standins.passthrough", str(proxy_port), f"127.0.0.1:{port}"
             )
             try:
@@ -123,7 +123,8 @@
             )
 
 
-async def _spawn(module: str, *args: str) -> asyncio.subprocess.Process:
+async def spawn(module: str, *args: str) -> asyncio.subprocess.Process:
+    """Start a module of the stand-ins as a process."""
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -131,4 +132,5 @@
         *args,
         stdin=asyncio.subprocess.PIPE,
         stdout=asyncio.subprocess.PIPE,
+        limit=64 * 1024 * 1024,
     )
--- /dev/null
+++ b/benchmarks/burst.py
@@ -0,0 +1,232 @@
+"""The brief's burst: each queue in turn asks for more than its pool holds."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import random
+import tempfile
+import time
+
+from benchmarks.added_cost import spawn
+from benchmarks.figures import quantile, show
+from standins.fleet import LocalFleet
+
+BASE = pathlib.Path("examples/base.toml")
+SITE = pathlib.Path("examples/printworks/site.toml")
+QUEUES = ("orders", "render", "proofs", "batch", "registers")
+SLOTS_PER_POOL = 48
+WORK_SECONDS = 1.0
+BURST_SECONDS = 9.0
+TIMEOUT_SECONDS = 6
+# A pool can take 48 requests a second. The mean of a queue is a fifth of its
+# burst.
+BURST_RATE = 96.0
+IDLE_RATE = BURST_RATE / 5 / 20
+# Part of a burst that is measured: not its ramp.
+RAMP_SECONDS = 2.0
+SEED = 5
+
+
+@dataclasses.dataclass
+class Sent:
+    """One request and its outcome."""
+
+    queue: str
+    team: str
+    began_at: float
+    seconds: float = 0.0
+    status: int = 0
+    run: str = ""
+    request: str = ""
+
+
+async def run() -> None:
+    """Print how the burst was served."""
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+        fleet = LocalFleet(
+            pathlib.Path(folder),
+            BASE,
+            SITE,
+            entry_vms_per_zone=3,
+            with_servers=False,
+        )
+        # Eight entry VMs: three, three and two.
+        del fleet.entry_vms["entry-az-c-3"]
+        servers = await start_servers(fleet)
+        try:
+            async with fleet:
+                await asyncio.sleep(4)
+                before = await read_counters(fleet)
+                sent, windows = await send_bursts(fleet)
+                after = await read_counters(fleet)
+                records = await read_records(servers)
+        finally:
+            for process in servers:
+                process.kill()
+                await process.wait()
+    report(fleet, sent, windows, records)
+    used = sum(after.values()) - sum(before.values())
+    show("burst_control_bytes_per_request", used / len(sent), "B")
+
+
+async def start_servers(fleet, slots: int = 8):
+    """Start the fleet's backend servers in one process for each zone."""
+    processes = []
+    addresses = [vm.callers for vm in fleet.entry_vms.values()]
+    for zone in fleet.zones:
+        vms = [
+            {"id": name, "pool": vm.pool}
+            for name, vm in fleet.settings.settings.vms.items()
+            if vm.availability_zone == zone
+        ]
+        config = {"entry_vms": addresses, "slots": slots, "vms": vms}
+        process = await spawn("standins.echo", json.dumps(config))
+        processes.append(process)
+    return processes
+
+
+async def read_counters(fleet) -> dict[str, float]:
+    """Return the bytes that each entry VM has sent over its links."""
+    counters = {}
+    for vm in fleet.entry_vms.values():
+        url = f"http://{vm.callers}/metrics"
+        async with fleet.session.get(url) as response:
+            text = await response.text()
+        for line in text.splitlines():
+            if line.startswith("galenarill_link_sent_bytes"):
+                counters[vm.id] = float(line.split()[-1])
+    return counters
+
+
+async def read_records(processes) -> list[dict]:
+    """Return the records of the backend servers."""
+    records = []
+    for process in processes:
+        process.stdin.write(b"records\n")
+        line = b""
+        while not line.startswith(b"["):
+            line = await process.stdout.readline()
+        records += json.loads(line)
+    return records
+
+
+async def send_bursts(fleet):
+    """Send each queue's burst in turn, and a trickle on the others."""
+    rng = random.Random(SEED)
+    sent: list[Sent] = []
+    tasks = []
+    windows = {}
+    for bursting in QUEUES:
+        began_at = time.time()
+        windows[bursting] = (
+            began_at + RAMP_SECONDS,
+            began_at + BURST_SECONDS,
+        )
+        rates = {q: IDLE_RATE for q in QUEUES} | {bursting: BURST_RATE}
+        senders = [
+            _send_at_rate(fleet, rng, q, rate, sent, tasks)
+            for q, rate in rates.items()
+        ]
+        await asyncio.gather(*senders)
+    await asyncio.gather(*tasks)
+    return sent, windows
+
+
+async def _send_at_rate(fleet, rng, queue, rate, sent, tasks) -> None:
+    """Send requests of random teams at random times, whatever comes back."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + BURST_SECONDS
+    due = loop.time() + rng.expovariate(rate)
+    teams = list(fleet.keys)
+    # Every team asks for twice its share.
+    weights = [float(fleet.settings.settings.teams[t].share) for t in teams]
+    vms = list(fleet.entry_vms)
+    while due < end:
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        team = rng.choices(teams, weights)[0]
+        item = Sent(queue, team, time.time())
+        sent.append(item)
+        call = _send(fleet, rng.choice(vms), item)
+        tasks.append(asyncio.create_task(call))
+        due += rng.expovariate(rate)
+
+
+async def _send(fleet, vm: str, item: Sent) -> None:
+    status, headers, data = await fleet.submit(
+        vm,
+        item.queue,
+        item.team,
+        tail=f"x?sleep={WORK_SECONDS}",
+        headers={"Galenarill-Timeout-Seconds": str(TIMEOUT_SECONDS)},
+    )
+    item.status = status
+    item.seconds = time.time() - item.began_at
+    item.request = headers.get("Galenarill-Request-Id", "")
+    if status != 200:
+        item.run = json.loads(data)["run"]
+
+
+def report(fleet, sent, windows, records) -> None:
+    """Print the figures of a burst from the backend servers' records."""
+    answered = [item for item in sent if item.status == 200]
+    refused = [item for item in sent if item.run == "not-run"]
+    runs = [run for record in records for run in record["executions"]]
+    requests = [run[0] for run in runs]
+    show("burst_requests", len(sent), "1")
+    show("burst_answered", len(answered), "1")
+    show("burst_refused_not_run", len(refused), "1")
+    show(
+        "burst_neither",
+        len(sent) - len(answered) - len(refused),
+        "1",
+    )
+    # Every execution belongs to an answer and the reverse: refusals are true,
+    # nothing is lost or doubled.
+    show("burst_executions_without_answer", len(runs) - len(answered), "1")
+    show("burst_doubled", len(requests) - len(set(requests)), "1")
+    most = max(record["most_running"] for record in records)
+    show("burst_most_running_on_a_server", most, "1")
+    most = max(record["most_connections"] for record in records)
+    show("burst_most_connections_to_a_server", most, "1")
+    trickle = [item.seconds for item in answered]
+    show("burst_p50", quantile(trickle, 0.5) * 1000, "ms")
+    _report_windows(fleet, windows, records)
+
+
+def _report_windows(fleet, windows, records) -> None:
+    weights = {
+        name: float(team.share)
+        for name, team in fleet.settings.settings.teams.items()
+    }
+    total_weight = sum(weights.values())
+    busy, errors = [], []
+    for queue, (since, until) in windows.items():
+        runs = [
+            run
+            for record in records
+            if record["pool"] == queue
+            for run in record["executions"]
+        ]
+        used = {
+            team: sum(
+                max(0.0, min(end or until, until) - max(begin, since))
+                for _, t, begin, end in runs
+                if t == team
+            )
+            for team in weights
+        }
+        total = sum(used.values())
+        busy.append(total / (SLOTS_PER_POOL * (until - since)))
+        errors += [
+            abs(used[team] / total - weight / total_weight) * 100
+            for team, weight in weights.items()
+        ]
+    show("burst_slots_busy_while_work_waits_min", min(busy) * 100, "%")
+    show("burst_slots_busy_while_work_waits_mean", _mean(busy) * 100, "%")
+    show("burst_share_error_max", max(errors), "points")
+    show("burst_share_error_mean", _mean(errors), "points")
+
+
+def _mean(values) -> float:
+    return sum(values) / len(values)
--- a/galenarill/entry/execution.py
+++ b/galenarill/entry/execution.py
@@ -15,7 +15,7 @@
 from galenarill.entry.problems import RunState
 from galenarill.entry.slots import Slots
 from galenarill.errors import RequestRefusedError
-from galenarill.scheduling import RetryBudget, Start
+from galenarill.scheduling import RetryBudget, ServiceTime, Start
 from galenarill.world import PoolId, QueueId, RequestId, TeamId, VmId
 
 __all__ = [
@@ -176,6 +176,7 @@
         self._slots = slots
         self._connections = connections
         self._budgets: dict[TeamId, RetryBudget] = {}
+        self._service_times: dict[QueueId, ServiceTime] = {}
         self._loop = asyncio.get_running_loop()
 
     async def run(self, spec: RequestSpec, sink: AnswerSink) -> None:
@@ -191,15 +192,18 @@
         """
         budget = self._budgets.setdefault(spec.team, RetryBudget())
         budget.earn()
+        service = self._service_times.setdefault(spec.queue, ServiceTime())
         failed_on: set[VmId] = set()
         may_have_run = False
         while True:
+            now = self._loop.time()
+            start_deadline = service.start_deadline(spec.deadline, now)
             try:
                 start = await self._slots.acquire(
                     spec.request,
                     spec.pool,
                     spec.team,
-                    spec.deadline,
+                    start_deadline,
                     frozenset(failed_on),
                 )
             except RequestRefusedError as error:
@@ -208,8 +212,10 @@
                 raise
             is_last = len(failed_on) + 1 >= MAX_SERVERS_PER_REQUEST
             may_retry = spec.is_idempotent and not is_last
+            began_at = self._loop.time()
             result = await self._attempt(spec, sink, start, may_retry, budget)
             if result is _AttemptResult.ANSWERED:
+                service.count(self._loop.time() - began_at)
                 return
             failed_on.add(start.permit.server)
             if result is _AttemptResult.FAILED:
--- a/galenarill/scheduling/admission.py
+++ b/galenarill/scheduling/admission.py
@@ -1,14 +1,21 @@
-"""Expected wait of a request in a queue."""
+"""Expected wait and run time of a request."""
 
 import math
 
-__all__ = ["WaitEstimate"]
+__all__ = ["WaitEstimate", "ServiceTime"]
 
 # Time in which the weight of a start falls to one half.
 HALF_LIFE_SECONDS = 2.0
 # A busy period is judged once it has lasted this long and seen this much.
 MIN_BUSY_SECONDS = 0.5
 MIN_STARTS = 10.0
+# Gains of the mean and the deviation of service times, and the deviations
+# above the mean that are allowed for, as in the retransmission timer of TCP.
+MEAN_GAIN = 1 / 8
+DEVIATION_GAIN = 1 / 4
+DEVIATIONS = 4.0
+# Part of a request's time that may be kept for its service at the most.
+MAX_SERVICE_FRACTION = 0.5
 
 
 class WaitEstimate:
@@ -65,3 +72,45 @@
     def _decay(self, now: float) -> None:
         self._starts *= 0.5 ** ((now - self._updated_at) / HALF_LIFE_SECONDS)
         self._updated_at = now
+
+
+class ServiceTime:
+    """Time that a backend server takes for a request of one queue.
+
+    References:
+        V. Jacobson. Congestion Avoidance and Control. SIGCOMM 1988.
+
+    Example:
+        >>> service = ServiceTime()
+        >>> for _ in range(100):
+        ...     service.count(0.2)
+        >>> round(service.start_deadline(deadline=10.0, now=8.0), 2)
+        9.8
+        >>> service.start_deadline(deadline=8.2, now=8.0)
+        8.1
+    """
+
+    def __init__(self):
+        """Make an estimate that expects no service time."""
+        self._mean = 0.0
+        self._deviation = 0.0
+
+    def count(self, seconds: float) -> None:
+        """Take in the time that one request took."""
+        error = seconds - self._mean
+        self._mean += MEAN_GAIN * error
+        self._deviation += DEVIATION_GAIN * (abs(error) - self._deviation)
+
+    def start_deadline(self, deadline: float, now: float) -> float:
+        """Return until when a request has to start to end in time.
+
+        Args:
+            deadline: Time by which its answer must have begun.
+            now: Time in seconds.
+
+        Returns:
+            The latest start; at least half of the time is left for waiting.
+        """
+        expected = self._mean + DEVIATIONS * self._deviation
+        most = MAX_SERVICE_FRACTION * (deadline - now)
+        return deadline - min(expected, most)
