Quarantine a failing server while its peers' permits are out

Cause: a holder reports answers only when a permit goes back. Change: peers with permits out and no record count as free of failures.

--- a/galenarill/scheduling/quarantine.py
+++ b/galenarill/scheduling/quarantine.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import statistics
+from collections.abc import Collection
 
 from galenarill.world import VmId
 
@@ -52,6 +53,10 @@
         >>> comparison = FailureComparison()
         >>> for vm in ("vm-1", "vm-2"):
         ...     comparison.record(vm, requests=20, failures=0, now=0.0)
+        False
+        False
+        False
+        False
         >>> comparison.record("vm-3", requests=0, failures=8, now=0.0)
         True
         >>> comparison.is_quarantined("vm-3", now=1.0)
@@ -63,8 +68,13 @@
         self._outcomes: dict[VmId, _Outcomes] = {}
 
     def record(
-        self, server: VmId, requests: int, failures: int, now: float
-    ) -> bool | None:
+        self,
+        server: VmId,
+        requests: int,
+        failures: int,
+        now: float,
+        active: Collection[VmId] = (),
+    ) -> bool:
         """Count outcomes of `server`.
 
         Args:
@@ -72,18 +82,21 @@
             requests: Requests that ran to an answer.
             failures: Requests that it failed.
             now: Time in seconds.
+            active: Backend servers that run requests now. As a failure is
+                recorded at once and an answer only when its permit goes back,
+                those without a record count as free of failures.
 
         Returns:
-            True if this puts `server` into quarantine, otherwise None.
+            Whether this puts `server` into quarantine.
         """
         outcomes = self._outcomes.setdefault(server, _Outcomes(updated_at=now))
         outcomes.decay(now)
         outcomes.requests += requests
         outcomes.failures += failures
         if not failures or outcomes.quarantine_deadline > now:
-            return None
-        if not self._is_worse_than_peers(server, now):
-            return None
+            return False
+        if not self._is_worse_than_peers(server, now, active):
+            return False
         outcomes.quarantine_deadline = now + QUARANTINE_SECONDS
         outcomes.requests = outcomes.failures = 0.0
         return True
@@ -97,15 +110,18 @@
         """Drop `server`, as when it restarts or leaves."""
         self._outcomes.pop(server, None)
 
-    def _is_worse_than_peers(self, server: VmId, now: float) -> bool:
+    def _is_worse_than_peers(
+        self, server: VmId, now: float, active: Collection[VmId]
+    ) -> bool:
         own = self._outcomes[server]
         if own.total < MIN_OUTCOMES or own.ratio < SUSPECT_RATIO:
             return False
         peers = []
         for vm, outcomes in self._outcomes.items():
             outcomes.decay(now)
-            if vm != server and outcomes.total >= 1.0:
+            if vm != server and (outcomes.total >= 1.0 or vm in active):
                 peers.append(outcomes.ratio)
+        peers += [0.0 for vm in active if vm not in self._outcomes]
         if not peers:
             return False
         return statistics.median(peers) < PEER_FRACTION * own.ratio
--- a/galenarill/scheduling/scheduler.py
+++ b/galenarill/scheduling/scheduler.py
@@ -755,8 +755,11 @@
     def _record_outcomes(
         self, grant: _Grant, line: messages.ReturnedPermit, now: float
     ) -> None:
-        failures = self._pools[grant.pool].failures
-        if failures.record(grant.server, line.requests, line.failures, now):
+        pool = self._pools[grant.pool]
+        active = [vm for vm, server in pool.servers.items() if server.permits]
+        if pool.failures.record(
+            grant.server, line.requests, line.failures, now, active
+        ):
             self._decide(
                 DecisionKind.QUARANTINE,
                 grant.server,
--- /dev/null
+++ b/galenarill/state/tests/test_escrow_machine.py
@@ -0,0 +1,89 @@
+"""State machine test of escrowed limits over stale and crashing zones."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from galenarill.state import LimitEscrow
+
+ZONES = ["az-a", "az-b", "az-c"]
+
+
+class EscrowMachine(RuleBasedStateMachine):
+    """Each zone acts on the target that it has seen last, however old."""
+
+    @initialize(limit=st.integers(0, 30))
+    def start(self, limit):
+        self.escrow = LimitEscrow(0)
+        self.escrow.set_limit(limit, ZONES)
+        # Highest limit that some zone may still act on.
+        self.limits = [limit]
+        self.seen = dict(self.escrow.targets)
+        self.running = dict.fromkeys(ZONES, 0)
+
+    @rule(limit=st.integers(0, 30))
+    def set_limit(self, limit):
+        self.escrow.set_limit(limit, ZONES)
+        self.limits.append(limit)
+
+    @rule(az=st.sampled_from(ZONES), count=st.integers(1, 10))
+    def give(self, az, count):
+        self.escrow.give(az, count)
+
+    @rule(az=st.sampled_from(ZONES), count=st.integers(1, 10))
+    def take(self, az, count):
+        self.escrow.take(az, count)
+
+    @rule(az=st.sampled_from(ZONES))
+    def see(self, az):
+        """The zone applies the latest version."""
+        self.seen[az] = self.escrow.targets[az]
+
+    @rule(az=st.sampled_from(ZONES))
+    def run_all(self, az):
+        """The zone starts as much as it believes that it may."""
+        self.running[az] = max(self.running[az], self.seen[az])
+
+    @rule(az=st.sampled_from(ZONES), count=st.integers(1, 10))
+    def finish(self, az, count):
+        self.running[az] = max(0, self.running[az] - count)
+
+    @rule(az=st.sampled_from(ZONES))
+    def acknowledge(self, az):
+        if self.running[az] <= self.seen[az]:
+            self.escrow.acknowledge(az, self.seen[az])
+
+    @rule()
+    def settle(self):
+        """Every zone is reached and ends its excess: the limit is in force."""
+        for az in ZONES:
+            self.see(az)
+            self.running[az] = min(self.running[az], self.seen[az])
+            self.escrow.acknowledge(az, self.seen[az])
+        self.limits = self.limits[-1:]
+        assert sum(self.running.values()) <= self.escrow.limit
+
+    @invariant()
+    def running_within_limit(self):
+        if not hasattr(self, "escrow"):
+            return
+        total = sum(self.running.values())
+        assert total <= max(self.limits), f"{total} run of {self.limits}"
+        assert sum(self.escrow.targets.values()) <= self.escrow.limit
+        for az in ZONES:
+            assert self.running[az] <= self.escrow.held[az]
+            assert self.seen[az] <= self.escrow.held[az]
+
+
+TestEscrow = EscrowMachine.TestCase
+TestEscrow.settings = settings(
+    max_examples=200,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+)
