--- a/galenarill/scheduling/quarantine.py
+++ b/galenarill/scheduling/quarantine.py
@@ -55,8 +55,6 @@
         ...     comparison.record(vm, requests=20, failures=0, now=0.0)
         False
         False
-        False
-        False
         >>> comparison.record("vm-3", requests=0, failures=8, now=0.0)
         True
         >>> comparison.is_quarantined("vm-3", now=1.0)
