Add the command line, and tick less often while nothing waits

Change: commands config, key, operator, vm and status; withdrawal goes to every entry VM directly and exits 1 while one is missing; ticks every 0.1 s when idle. Benchmarks for outages, control cost and the log.

--- /dev/null
+++ b/benchmarks/control_cost.py
@@ -0,0 +1,57 @@
+"""Processor time, memory and link traffic of each entry VM for control."""
+
+import asyncio
+import pathlib
+import tempfile
+import time
+
+from benchmarks.burst import read_counters, start_servers
+from benchmarks.figures import process_usage, show
+from standins.fleet import LocalFleet
+
+BASE = pathlib.Path("examples/base.toml")
+SITE = pathlib.Path("examples/printworks/site.toml")
+IDLE_SECONDS = 20.0
+
+
+async def run() -> None:
+    """Print the cost of an idle fleet of eight entry VMs."""
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+        fleet = LocalFleet(
+            pathlib.Path(folder),
+            BASE,
+            SITE,
+            entry_vms_per_zone=3,
+            with_servers=False,
+        )
+        del fleet.entry_vms["entry-az-c-3"]
+        servers = await start_servers(fleet)
+        try:
+            async with fleet:
+                await asyncio.sleep(6)
+                await _measure(fleet)
+        finally:
+            for process in servers:
+                process.kill()
+                await process.wait()
+
+
+async def _measure(fleet) -> None:
+    bytes_before = await read_counters(fleet)
+    pids = {v.id: v.process.pid for v in fleet.entry_vms.values()}
+    before = {vm: process_usage(pid) for vm, pid in pids.items()}
+    began_at = time.monotonic()
+    await asyncio.sleep(IDLE_SECONDS)
+    seconds = time.monotonic() - began_at
+    after = {vm: process_usage(pid) for vm, pid in pids.items()}
+    bytes_after = await read_counters(fleet)
+    cores = [
+        100 * (after[vm].cpu_seconds - before[vm].cpu_seconds) / seconds
+        for vm in pids
+    ]
+    sent = [(bytes_after[vm] - bytes_before[vm]) / seconds for vm in pids]
+    show("idle_core_share_max", max(cores), "%")
+    show("idle_core_share_mean", sum(cores) / len(cores), "%")
+    show("idle_memory_max", max(u.memory_mib for u in after.values()), "MiB")
+    show("idle_link_sent_max", max(sent), "B/s")
+    show("idle_link_sent_mean", sum(sent) / len(sent), "B/s")
--- /dev/null
+++ b/benchmarks/log.py
@@ -0,0 +1,111 @@
+"""The replicated log: delay of a change, commits, restart and size."""
+
+import asyncio
+import pathlib
+import random
+import tempfile
+import time
+
+from benchmarks.figures import median, quantile, show
+from galenarill.consensus import Entry, EntryKind, open_journal
+from galenarill.state import (
+    Change,
+    Edit,
+    EditSettings,
+    FleetState,
+    encode_change,
+)
+from standins.fleet import LocalFleet
+
+BASE = pathlib.Path("examples/base.toml")
+SITE = pathlib.Path("examples/printworks/site.toml")
+CHANGES = 60
+BATCH = 100
+
+
+async def run() -> None:
+    """Print the figures of the log."""
+    _measure_syncs()
+    await _measure_fleet()
+
+
+def _entries(count: int) -> list[Entry]:
+    edit = Edit(("queues", "orders", "max_waiting"), 7)
+    command = EditSettings((edit,))
+    return [
+        Entry(
+            index,
+            1,
+            EntryKind.COMMAND,
+            encode_change(Change(f"c{index}", "ana", 0.0, -1, command)),
+        )
+        for index in range(1, count + 1)
+    ]
+
+
+def _measure_syncs() -> None:
+    """Compare one sync for each entry with one for a batch."""
+    entries = _entries(1000)
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+        journal, _ = open_journal(pathlib.Path(folder) / "single")
+        began_at = time.perf_counter()
+        for entry in entries:
+            journal.append(None, [entry])
+        single = len(entries) / (time.perf_counter() - began_at)
+        size = journal.size
+        journal.close()
+        journal, _ = open_journal(pathlib.Path(folder) / "batch")
+        began_at = time.perf_counter()
+        for start in range(0, len(entries), BATCH):
+            journal.append(None, entries[start : start + BATCH])
+        grouped = len(entries) / (time.perf_counter() - began_at)
+        journal.close()
+        began_at = time.perf_counter()
+        open_journal(pathlib.Path(folder) / "single")[0].close()
+        show("log_open_1000", time.perf_counter() - began_at, "s")
+    show("log_commits_sync_each", single, "1/s")
+    show("log_commits_sync_each_100", grouped, "1/s")
+    show("log_size_1000_changes", size, "B")
+    state = FleetState()
+    show("log_empty_snapshot", len(state.encode()), "B")
+
+
+async def _measure_fleet() -> None:
+    """Measure from a change's acceptance to its effect everywhere."""
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+        fleet = LocalFleet(
+            pathlib.Path(folder),
+            BASE,
+            SITE,
+            entry_vms_per_zone=3,
+            with_servers=False,
+        )
+        del fleet.entry_vms["entry-az-c-3"]
+        async with fleet:
+            await _measure_changes(fleet)
+
+
+async def _measure_changes(fleet) -> None:
+    rng = random.Random(1)
+    delays = []
+    for number in range(CHANGES):
+        path = ["queues", "orders", "max_waiting"]
+        body = {"edits": [{"path": path, "value": number}]}
+        began_at = time.perf_counter()
+        vm = rng.choice(list(fleet.entry_vms))
+        _, answer = await fleet.admin("POST", "settings", vm, json=body)
+        version = answer["version"]
+        await asyncio.gather(
+            *(_wait_version(fleet, vm, version) for vm in fleet.entry_vms)
+        )
+        delays.append(time.perf_counter() - began_at)
+    show("change_everywhere_p50", median(delays) * 1000, "ms")
+    show("change_everywhere_p99", quantile(delays, 0.99) * 1000, "ms")
+
+
+async def _wait_version(fleet, vm: str, version: int) -> None:
+    while True:
+        _, status = await fleet.admin("GET", "status", vm)
+        if status["version"] >= version:
+            return
+        await asyncio.sleep(0.005)
--- /dev/null
+++ b/benchmarks/outage.py
@@ -0,0 +1,142 @@
+"""One zone cut off for a minute, and the scheduler's entry VM killed."""
+
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import tempfile
+import time
+
+import aiohttp
+
+from benchmarks.burst import start_servers
+from benchmarks.figures import show
+from standins.fleet import LocalFleet
+from standins.proxy import Fault
+
+BASE = pathlib.Path("examples/base.toml")
+SITE = pathlib.Path("examples/printworks/site.toml")
+RATE = 80.0
+WORK_SECONDS = 0.2
+CUT_SECONDS = 60.0
+QUEUES = ("orders", "render", "proofs", "batch", "registers")
+# A request is slow to start when it takes longer than this beyond its work.
+SLOW_SECONDS = 0.5
+
+
+async def run() -> None:
+    """Print the answered share during each outage, and recovery times."""
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+        fleet = LocalFleet(
+            pathlib.Path(folder),
+            BASE,
+            SITE,
+            entry_vms_per_zone=2,
+            with_proxies=True,
+            with_servers=False,
+        )
+        servers = await start_servers(fleet)
+        try:
+            async with fleet:
+                await asyncio.sleep(4)
+                await _cut_zone(fleet)
+                await asyncio.sleep(5)
+                await _kill_scheduler(fleet)
+        finally:
+            for process in servers:
+                process.kill()
+                await process.wait()
+
+
+class _Load:
+    """Requests at a steady rate to the entry VMs that are not known dead."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.vms = list(fleet.entry_vms)
+        self.outcomes: list[tuple[float, str, int, float]] = []
+        self._rng = random.Random(3)
+        self._calls: set[asyncio.Task] = set()
+        self._task = asyncio.create_task(self._send_forever())
+
+    async def stop(self) -> None:
+        """Stop, and wait for what is under way."""
+        self._task.cancel()
+        await asyncio.gather(*self._calls)
+
+    async def _send_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._rng.expovariate(RATE))
+            task = asyncio.create_task(self._send())
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+
+    async def _send(self) -> None:
+        vm = self._rng.choice(self.vms)
+        team = self._rng.choice(list(self.fleet.keys))
+        began_at = time.monotonic()
+        try:
+            status, _, data = await self.fleet.submit(
+                vm,
+                self._rng.choice(QUEUES),
+                team,
+                tail=f"x?sleep={WORK_SECONDS}",
+                headers={"Galenarill-Timeout-Seconds": "5"},
+            )
+            if status == 503 and json.loads(data)["run"] != "not-run":
+                status = -2
+        except aiohttp.ClientError:
+            status = -1
+        seconds = time.monotonic() - began_at
+        self.outcomes.append((began_at, vm, status, seconds))
+
+    def show(self, name: str, since: float, until: float) -> None:
+        """Print the answered share of what was sent in a time."""
+        sent = [o for o in self.outcomes if since <= o[0] < until]
+        answered = sum(o[2] == 200 for o in sent)
+        show(f"{name}_requests", len(sent), "1")
+        show(f"{name}_answered", 100 * answered / len(sent), "%")
+        unknown = sum(o[2] not in (200, 503, 429) for o in sent)
+        show(f"{name}_unknown_or_broken", unknown, "1")
+
+    def show_recovery(self, name: str, since: float) -> None:
+        """Print when the last disturbed request after `since` began."""
+        disturbed = [
+            began_at - since
+            for began_at, _, status, seconds in self.outcomes
+            if began_at >= since
+            and (status != 200 or seconds > WORK_SECONDS + SLOW_SECONDS)
+        ]
+        show(f"{name}_disturbed_requests", len(disturbed), "1")
+        show(f"{name}_until_undisturbed", max(disturbed, default=0.0), "s")
+
+
+async def _cut_zone(fleet) -> None:
+    load = _Load(fleet)
+    await asyncio.sleep(3)
+    began_at = time.monotonic()
+    fleet.cut_zone("az-c", Fault.HALF_OPEN)
+    await asyncio.sleep(CUT_SECONDS)
+    fleet.cut_zone("az-c", Fault.NONE)
+    healed_at = time.monotonic()
+    await asyncio.sleep(10)
+    await load.stop()
+    load.show("zone_cut", began_at, healed_at)
+    load.show("zone_cut_first_10_s", began_at, began_at + 10)
+    load.show_recovery("zone_heal", healed_at)
+
+
+async def _kill_scheduler(fleet) -> None:
+    load = _Load(fleet)
+    await asyncio.sleep(3)
+    statuses = await fleet.statuses()
+    victim = statuses["entry-az-a-1"]["schedulers"]["az-a"]
+    # The balancer's probes take a dead VM out; here at once.
+    load.vms.remove(victim)
+    began_at = time.monotonic()
+    await fleet.stop_entry_vm(victim, signal.SIGKILL)
+    await asyncio.sleep(15)
+    await load.stop()
+    load.show("entry_vm_killed", began_at, began_at + 15)
+    load.show_recovery("entry_vm_killed", began_at)
--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -7,6 +7,9 @@
 
 import cyclopts
 
+from galenarill.cli.config import config_app
+from galenarill.cli.fleet import status, vm_app
+from galenarill.cli.keys import key_app, operator_app
 from galenarill.errors import (
     GalenarillError,
     SettingsFindings,
@@ -24,6 +27,13 @@
 )
 
 
+app.command(config_app)
+app.command(key_app)
+app.command(operator_app)
+app.command(vm_app)
+app.command(status)
+
+
 @app.command
 def serve(settings: Annotated[pathlib.Path, cyclopts.Parameter()]) -> None:
     """Run one entry VM until it gets SIGTERM.
--- /dev/null
+++ b/galenarill/cli/client.py
@@ -0,0 +1,188 @@
+"""Client of the administration interface."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import secrets
+from decimal import Decimal
+
+import aiohttp
+import msgspec
+
+from galenarill.errors import (
+    AuthenticationError,
+    CommandRefusedError,
+    ConflictError,
+    GalenarillError,
+    NotLeaderError,
+)
+
+__all__ = ["AdminClient", "EntryVmAddress", "open_client"]
+
+CALL_SECONDS = 8.0
+ATTEMPTS = 4
+ENDPOINTS_VARIABLE = "GALENARILL_ENDPOINTS"
+KEY_FILE_VARIABLE = "GALENARILL_OPERATOR_KEY_FILE"
+_encode = msgspec.json.Encoder(decimal_format="number").encode
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryVmAddress:
+    """Where an entry VM can be asked.
+
+    Attributes:
+        vm: VM id.
+        availability_zone: Zone.
+        endpoint: `host:port`.
+    """
+
+    vm: str
+    availability_zone: str
+    endpoint: str
+
+
+class AdminClient:
+    """Calls any entry VM that answers; use it as a context manager."""
+
+    def __init__(self, endpoints: list[str], key: str):
+        """Make a client.
+
+        Args:
+            endpoints: `host:port` of entry VMs, tried in order.
+            key: Operator's credential.
+        """
+        self._endpoints = endpoints
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "AdminClient":
+        """Open the HTTP session."""
+        timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        """Close the HTTP session."""
+        await self._session.close()
+
+    async def get(self, path: str, endpoint: str = "") -> dict:
+        """Read from one entry VM, or from the first that answers."""
+        return await self._call("GET", path, endpoint=endpoint)
+
+    async def change(
+        self, path: str, body: dict, based_on: int | None = None
+    ) -> dict:
+        """Send a change, and again under the same id if the answer is lost.
+
+        Args:
+            path: Path below `/v1/admin/`.
+            body: What to change.
+            based_on: Version that the change is based on.
+
+        Returns:
+            The outcome.
+
+        Raises:
+            ConflictError: If somebody else has changed the same.
+            CommandRefusedError: If it was refused for another reason.
+        """
+        headers = {"Galenarill-Change-Id": secrets.token_hex(12)}
+        if based_on is not None:
+            headers["If-Match"] = str(based_on)
+        return await self._call("POST", path, body, headers)
+
+    async def entry_vms(self) -> list[EntryVmAddress]:
+        """Return every entry VM of the fleet."""
+        status = await self.get("status")
+        return [
+            EntryVmAddress(vm["id"], vm["availability_zone"], vm["callers"])
+            for vm in status["entry_vms"]
+        ]
+
+    async def ask_all(self, path: str) -> dict[EntryVmAddress, dict | None]:
+        """Read from every entry VM; None for those that do not answer."""
+        vms = await self.entry_vms()
+        answers = await asyncio.gather(
+            *(self.get(path, vm.endpoint) for vm in vms),
+            return_exceptions=True,
+        )
+        return {
+            vm: None if isinstance(answer, Exception) else answer
+            for vm, answer in zip(vms, answers, strict=True)
+        }
+
+    async def post_to(self, vm: EntryVmAddress, path: str) -> None:
+        """Send a change to one entry VM, whatever comes back."""
+        try:
+            await self._call("POST", path, {}, endpoint=vm.endpoint)
+        except GalenarillError:
+            return
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict | None = None,
+        headers: dict | None = None,
+        endpoint: str = "",
+    ) -> dict:
+        last: Exception = GalenarillError("no entry VM is configured")
+        targets = [endpoint] if endpoint else self._endpoints * ATTEMPTS
+        for target in targets:
+            try:
+                return await self._call_one(
+                    method, target, path, body, headers or {}
+                )
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                last = GalenarillError(f"{target} does not answer: {error}")
+            except NotLeaderError as error:
+                last = error
+        raise last
+
+    async def _call_one(
+        self, method: str, target: str, path: str, body, headers: dict
+    ) -> dict:
+        async with self._session.request(
+            method,
+            f"http://{target}/v1/admin/{path}",
+            data=None if body is None else _encode(body),
+            headers={**self._headers, **headers},
+        ) as response:
+            text = await response.text()
+        answer = json.loads(text, parse_float=Decimal)
+        if response.status == 200:
+            return answer
+        detail = answer.get("detail", text)
+        for fault in answer.get("faults", []):
+            detail += f"\n{fault['path']}: {fault['text']}"
+        if response.status in (401, 403):
+            raise AuthenticationError(detail)
+        if response.status == 503:
+            raise NotLeaderError(detail)
+        if answer.get("outcome") == "conflict":
+            raise ConflictError(detail)
+        raise CommandRefusedError(detail)
+
+
+def open_client() -> AdminClient:
+    """Make a client from the environment.
+
+    Raises:
+        GalenarillError: If the environment names no entry VM or credential.
+    """
+    endpoints = os.environ.get(ENDPOINTS_VARIABLE, "").split()
+    if not endpoints:
+        raise GalenarillError(
+            f"{ENDPOINTS_VARIABLE} must name entry VMs as host:port"
+        )
+    file = os.environ.get(KEY_FILE_VARIABLE, "")
+    try:
+        key = pathlib.Path(file).read_text(encoding="utf-8").strip()
+    except OSError as error:
+        raise GalenarillError(
+            f"{KEY_FILE_VARIABLE} must name a file with the operator's "
+            f"credential: {error}"
+        ) from error
+    return AdminClient(endpoints, key)
--- /dev/null
+++ b/galenarill/cli/config.py
@@ -0,0 +1,165 @@
+"""Commands for the fleet's settings."""
+
+import asyncio
+import datetime
+import json
+import pathlib
+
+import cyclopts
+import msgspec
+
+from galenarill.cli.client import AdminClient, open_client
+from galenarill.cli.everywhere import wait_in_force
+from galenarill.errors import CommandRefusedError
+from galenarill.settings import flatten, load_settings
+
+__all__ = ["config_app"]
+
+config_app = cyclopts.App(name="config", help="Settings of the fleet.")
+_encode = msgspec.json.Encoder(decimal_format="number").encode
+
+
+@config_app.command
+def check(base: pathlib.Path, site: pathlib.Path | None = None) -> None:
+    """Check settings files and report every fault.
+
+    Example: galenarill config check base.toml --site site.toml
+
+    Args:
+        base: Settings of the whole fleet.
+        site: Overlay that states where a site differs.
+    """
+    loaded = load_settings(base, site)
+    print(f"ok: {len(loaded.origins)} settings")
+
+
+@config_app.command
+def explain(
+    path: str, base: pathlib.Path, site: pathlib.Path | None = None
+) -> None:
+    """Tell where a value comes from.
+
+    Example: galenarill config explain teams.batch.share base.toml
+    --site site.toml
+
+    Args:
+        path: Dotted path of a setting or table.
+        base: Settings of the whole fleet.
+        site: Overlay that states where a site differs.
+    """
+    loaded = load_settings(base, site)
+    wanted = tuple(path.split("."))
+    values = flatten(loaded.raw)
+    found = [p for p in values if p[: len(wanted)] == wanted]
+    if not found:
+        raise CommandRefusedError(f"no setting {path!r}")
+    for key in found:
+        origin = loaded.origins[key]
+        dotted = ".".join(key)
+        print(f"{dotted} = {_show(values[key])}  ({origin.file}:{origin.line})")
+
+
+@config_app.command
+def diff(base: pathlib.Path, site: pathlib.Path | None = None) -> None:
+    """Show what `apply` would change.
+
+    Args:
+        base: Settings of the whole fleet.
+        site: Overlay that states where a site differs.
+    """
+    loaded = load_settings(base, site)
+
+    async def run() -> None:
+        async with open_client() as client:
+            _, edits = await _compare(client, loaded.raw)
+            _print_edits(edits)
+
+    asyncio.run(run())
+
+
+@config_app.command
+def apply(base: pathlib.Path, site: pathlib.Path | None = None) -> None:
+    """Apply settings, and wait until they are in force everywhere.
+
+    A number that somebody else has changed meanwhile is a conflict; nothing is
+    changed then.
+
+    Args:
+        base: Settings of the whole fleet.
+        site: Overlay that states where a site differs.
+    """
+    loaded = load_settings(base, site)
+
+    async def run() -> None:
+        async with open_client() as client:
+            version, edits = await _compare(client, loaded.raw)
+            _print_edits(edits)
+            if not edits:
+                return
+            outcome = await client.change("settings", {"edits": edits}, version)
+            print(f"accepted as version {outcome['version']}")
+            await wait_in_force(client, outcome["version"])
+
+    asyncio.run(run())
+
+
+@config_app.command
+def show() -> None:
+    """Print the settings in force as JSON."""
+
+    async def run() -> None:
+        async with open_client() as client:
+            shown = await client.get("settings")
+            print(msgspec.json.format(_encode(shown)).decode())
+
+    asyncio.run(run())
+
+
+@config_app.command
+def history() -> None:
+    """List the latest changes: version, time, operator and what."""
+
+    async def run() -> None:
+        async with open_client() as client:
+            for row in (await client.get("history"))["history"]:
+                at = datetime.datetime.fromtimestamp(
+                    float(row["at"]), datetime.UTC
+                )
+                print(
+                    f"{row['version']:>8}  {at:%Y-%m-%d %H:%M:%S}  "
+                    f"{row['operator']:<20}  {row['text']}"
+                )
+
+    asyncio.run(run())
+
+
+async def _compare(client: AdminClient, raw: dict) -> tuple[int, list[dict]]:
+    """Return the version in force and the edits that lead to `raw`."""
+    shown = await client.get("settings")
+    current = flatten(shown["settings"])
+    wanted = flatten(raw)
+    edits = [
+        {"path": list(path), "value": None, "is_removed": True}
+        for path in sorted(current.keys() - wanted.keys())
+    ]
+    edits += [
+        {"path": list(path), "value": value}
+        for path, value in wanted.items()
+        if path not in current or current[path] != value
+    ]
+    return shown["version"], edits
+
+
+def _print_edits(edits: list[dict]) -> None:
+    for edit in edits:
+        path = ".".join(edit["path"])
+        if edit.get("is_removed"):
+            print(f"- {path}")
+        else:
+            print(f"+ {path} = {_show(edit['value'])}")
+    if not edits:
+        print("no difference")
+
+
+def _show(value) -> str:
+    return json.dumps(value, default=str)
--- /dev/null
+++ b/galenarill/cli/everywhere.py
@@ -0,0 +1,63 @@
+"""Waiting until a change is in force at every entry VM."""
+
+import asyncio
+import collections
+import time
+from collections.abc import Callable
+
+from galenarill.cli.client import AdminClient, EntryVmAddress
+from galenarill.errors import GalenarillError
+
+__all__ = ["wait_in_force", "report_zones"]
+
+WAIT_SECONDS = 5.0
+POLL_SECONDS = 0.1
+
+
+async def wait_in_force(client: AdminClient, version: int) -> None:
+    """Wait until every entry VM has applied `version`, and say where.
+
+    Raises:
+        GalenarillError: If it is not in force everywhere in time.
+    """
+    deadline = time.monotonic() + WAIT_SECONDS
+    while True:
+        answers = await client.ask_all("status")
+        is_complete = report_zones(
+            answers, lambda status: status["version"] >= version, False
+        )
+        if is_complete or time.monotonic() > deadline:
+            break
+        await asyncio.sleep(POLL_SECONDS)
+    if not report_zones(answers, lambda s: s["version"] >= version, True):
+        raise GalenarillError(f"version {version} is not in force everywhere")
+
+
+def report_zones(
+    answers: dict[EntryVmAddress, dict | None],
+    is_in_force: Callable[[dict], bool],
+    is_printed: bool = True,
+) -> bool:
+    """Print for each zone at how many entry VMs a change is in force.
+
+    Args:
+        answers: Answer of each entry VM, or None.
+        is_in_force: Judges one answer.
+        is_printed: Whether to print.
+
+    Returns:
+        Whether it is in force at every entry VM.
+    """
+    zones = collections.defaultdict(list)
+    for vm, answer in answers.items():
+        in_force = answer is not None and is_in_force(answer)
+        zones[vm.availability_zone].append((vm.vm, in_force))
+    for zone, states in sorted(zones.items()):
+        missing = [vm for vm, in_force in states if not in_force]
+        if is_printed:
+            done = len(states) - len(missing)
+            text = f"{zone}: in force at {done} of {len(states)} entry VMs"
+            if missing:
+                text += f", missing {', '.join(missing)}"
+            print(text)
+    return all(ok for states in zones.values() for _, ok in states)
--- /dev/null
+++ b/galenarill/cli/keys.py
@@ -0,0 +1,109 @@
+"""Commands for team keys and operators' credentials."""
+
+import asyncio
+
+import cyclopts
+
+from galenarill.cli.client import open_client
+from galenarill.cli.everywhere import report_zones, wait_in_force
+from galenarill.errors import GalenarillError
+from galenarill.world import new_key
+
+__all__ = ["key_app", "operator_app"]
+
+key_app = cyclopts.App(name="key", help="Keys of teams.")
+operator_app = cyclopts.App(name="operator", help="Operators' credentials.")
+
+WITHDRAW_ROUNDS = 10
+ROUND_SECONDS = 0.4
+
+
+@key_app.command
+def give(team: str) -> None:
+    """Give a team a new key, and print it once.
+
+    Example: galenarill key give municipal
+
+    Args:
+        team: Team.
+    """
+    key_id, text, digest = new_key()
+
+    async def run() -> None:
+        async with open_client() as client:
+            outcome = await client.change(
+                "keys", {"key_id": key_id, "team": team, "digest": digest}
+            )
+            print(text)
+            await wait_in_force(client, outcome["version"])
+
+    asyncio.run(run())
+
+
+@key_app.command(name="list")
+def list_keys() -> None:
+    """List the keys: id, team and whether it is withdrawn."""
+
+    async def run() -> None:
+        async with open_client() as client:
+            for row in (await client.get("keys"))["keys"]:
+                state = "withdrawn" if row["is_withdrawn"] else "valid"
+                print(f"{row['key_id']}  {row['team']:<20}  {state}")
+
+    asyncio.run(run())
+
+
+@key_app.command
+def withdraw(key_id: str) -> None:
+    """Withdraw a key for good, and tell where that is in force.
+
+    Every entry VM is asked directly as well, so that a zone that is cut off
+    from the others, but not from here, is reached. The exit code is 1 while
+    any entry VM is missing.
+
+    Example: galenarill key withdraw 4f1c02aa91d3
+
+    Args:
+        key_id: Id of the key, its second part.
+    """
+
+    async def run() -> None:
+        async with open_client() as client:
+            vms = await client.entry_vms()
+            path = f"keys/{key_id}/withdrawal"
+            await asyncio.gather(*(client.post_to(vm, path) for vm in vms))
+            for _ in range(WITHDRAW_ROUNDS):
+                answers = await client.ask_all("keys")
+                if report_zones(answers, is_withdrawn, False):
+                    break
+                await asyncio.sleep(ROUND_SECONDS)
+            if not report_zones(answers, is_withdrawn):
+                raise GalenarillError(
+                    "the withdrawal is not in force everywhere"
+                )
+
+    def is_withdrawn(answer: dict) -> bool:
+        return key_id in answer["withdrawn"]
+
+    asyncio.run(run())
+
+
+@operator_app.command
+def new(name: str, role: str = "read") -> None:
+    """Make a credential for an operator.
+
+    Prints the credential, and the table for the operators' file of each entry
+    VM.
+
+    Args:
+        name: Name of the operator.
+        role: One of read, operate and administer.
+    """
+    if role not in ("read", "operate", "administer"):
+        raise GalenarillError(f"no role {role!r}")
+    key_id, text, digest = new_key()
+    print(f"# credential, shown once: {text}")
+    print(f"[operators.{name}]")
+    print(f'role = "{role}"')
+    print(f'key_id = "{key_id}"')
+    print(f'digest = "{digest}"')
--- a/galenarill/entry/admin.py
+++ b/galenarill/entry/admin.py
@@ -175,7 +175,7 @@
             }
             for record in self._control.state.keys.values()
         ]
-        return _json({"keys": rows})
+        return _json({"keys": rows, "withdrawn": sorted(self._keys.withdrawn)})
 
     @_with_role(Role.ADMINISTER)
     async def _edit_settings(
--- a/galenarill/entry/keyring.py
+++ b/galenarill/entry/keyring.py
@@ -59,6 +59,11 @@
         """Digest of the withdrawn keys known here."""
         return self._digest
 
+    @property
+    def withdrawn(self) -> frozenset[KeyId]:
+        """Withdrawn keys known here."""
+        return frozenset(self._withdrawn)
+
     def is_fresh(self) -> bool:
         """Tell whether keyed work may be taken."""
         return self._is_current() and self._freshness.is_fresh(
--- a/galenarill/entry/node.py
+++ b/galenarill/entry/node.py
@@ -36,7 +36,9 @@
 
 __all__ = ["EntryNode", "serve"]
 
-TICK_SECONDS = 0.05
+# Ticks while requests wait, and while none do.
+TICK_SECONDS = 0.04
+IDLE_TICK_SECONDS = 0.1
 HEARTBEAT_SECONDS = 1.0
 LOG_FLUSH_SECONDS = 0.5
 # Time for which a leaving VM serves on, so that the balancer and the peers
@@ -240,7 +242,10 @@
     async def _tick_forever(self) -> None:
         epoch = ""
         while True:
-            await asyncio.sleep(TICK_SECONDS)
+            is_waiting = self._slots.holder.waiting
+            await asyncio.sleep(
+                TICK_SECONDS if is_waiting else IDLE_TICK_SECONDS
+            )
             self._control.tick()
             self._slots.tick()
             self._claims.tick()
