--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,344 @@
+"""Slopes from which docs/CAPACITY.md works out the two-year size.
+
+Each quantity is varied over at least four points; `_slope` lines give the least
+squares fit. Run it with `make slopes`.
+"""
+
+import asyncio
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+import tracemalloc
+
+from benchmarks.burst import read_counters, start_servers
+from benchmarks.figures import process_usage, show
+from galenarill.scheduling import (
+    PermitHolder,
+    SchedulingPolicy,
+    ZoneScheduler,
+)
+from galenarill.scheduling import messages as m
+from galenarill.state import (
+    Change,
+    Edit,
+    EditSettings,
+    FleetState,
+    GiveKey,
+    WithdrawKey,
+)
+from standins.fleet import LocalFleet
+
+BASE = pathlib.Path("examples/base.toml")
+SITE = pathlib.Path("examples/printworks/site.toml")
+SETTLE_SECONDS = 5.0
+MEASURE_SECONDS = 10.0
+
+
+def show_slope(name: str, points: list[tuple[float, float]], unit: str) -> None:
+    """Print each point and the fitted slope and intercept."""
+    for x, y in points:
+        show(f"{name}_at_{x:g}", y, unit)
+    fit = statistics.linear_regression(*zip(*points, strict=True))
+    show(f"{name}_slope", fit.slope, f"{unit}/1")
+    show(f"{name}_intercept", fit.intercept, unit)
+
+
+def _make_state(teams=0, pools=1, vms=0, keys=0) -> FleetState:
+    settings = {
+        "pools": {f"pool-{n}": {"max_unavailable": 1} for n in range(pools)},
+        "teams": {
+            f"team-{n}": {"share": 1, "upper_limit": 50} for n in range(teams)
+        },
+        "vms": {
+            f"vm-{n}": {
+                "availability_zone": f"az-{n % 5}",
+                "rack": f"rack-{n % 5}-{n // 20}",
+                "pool": f"pool-{n % pools}",
+            }
+            for n in range(vms)
+        },
+    }
+    edits = tuple(Edit((key,), value) for key, value in settings.items())
+    state = FleetState()
+    outcome = state.apply(1, Change("c1", "ana", 0.0, -1, EditSettings(edits)))
+    if not outcome.is_accepted:
+        raise RuntimeError(outcome)
+    for n in range(keys):
+        command = GiveKey(f"key-{n}", "team-0", "0" * 64)
+        state.apply(2 + n, Change(f"k{n}", "ana", 0.0, -1, command))
+    return state
+
+
+def measure_state() -> None:
+    """Show the memory and snapshot of the state by what it holds."""
+    # Caches of the libraries are filled once and are not part of the state.
+    _make_state(teams=2, pools=2, vms=2, keys=2)
+    for what, counts, others in (
+        ("team", (10, 40, 80, 160), {"vms": 10}),
+        ("pool", (30, 60, 120, 240), {}),
+        ("vm", (200, 400, 800, 1700), {"pools": 200}),
+        ("key", (100, 200, 400, 800), {"teams": 1}),
+    ):
+        sizes, memory = [], []
+        for count in counts:
+            tracemalloc.start()
+            state = _make_state(**{**others, f"{what}s": count})
+            memory.append((count, tracemalloc.get_traced_memory()[0]))
+            tracemalloc.stop()
+            sizes.append((count, len(state.encode())))
+        show_slope(f"state_snapshot_by_{what}", sizes, "B")
+        show_slope(f"state_memory_by_{what}", memory, "B")
+
+
+def measure_changes() -> None:
+    """Show the time that one change takes, by the size of the settings."""
+    points = []
+    for vms in (200, 400, 800, 1700):
+        state = _make_state(teams=86, pools=200, vms=vms)
+        times = []
+        for n in range(5):
+            edit = Edit(("teams", "team-1", "upper_limit"), n)
+            change = Change(f"x{n}", "ana", 0.0, -1, EditSettings((edit,)))
+            began_at = time.perf_counter()
+            state.apply(100 + n, change)
+            times.append(time.perf_counter() - began_at)
+        points.append((vms, statistics.median(times) * 1000))
+    show_slope("settings_change_cpu_by_vm", points, "ms")
+    state = _make_state(teams=86, pools=233, vms=1700)
+    began_at = time.perf_counter()
+    for n in range(100):
+        state.apply(
+            200 + n, Change(f"w{n}", "a", 0.0, -1, WithdrawKey(f"k{n}"))
+        )
+    show("key_change_cpu", (time.perf_counter() - began_at) * 10, "ms")
+
+
+class _Policy(SchedulingPolicy):
+    def allotment(self, team):
+        return 1 << 20
+
+    def weight(self, team):
+        return 1.0
+
+    def refusal(self, server, pool):
+        return ""
+
+    def is_gone(self, server):
+        return False
+
+
+def _make_zone(servers: int, slots: int, pools: int = 1):
+    now = 10.0
+    scheduler = ZoneScheduler("az", "e", frozenset({"h"}), _Policy(), now)
+    holder = PermitHolder("az")
+    scheduler.register("h", holder.next_register("az", "e", now), now)
+    _exchange(scheduler, holder, now)
+    for _ in range(2):
+        for n in range(servers):
+            _report(scheduler, f"vm-{n}", f"pool-{n % pools}", slots, now)
+    return scheduler, holder
+
+
+_stamps: dict[str, tuple[int, str]] = {}
+
+
+def _report(scheduler, vm, pool, slots, now, running=()):
+    sequence, seen = _stamps.get(vm, (0, ""))
+    report = m.ServerReport(
+        vm, "az", pool, "127.0.0.1:1", "b", sequence + 1, slots, 60, running,
+        seen=seen,
+    )  # fmt: skip
+    reply = scheduler.report(report, now)
+    _stamps[vm] = (sequence + 1, reply.stamp)
+
+
+def _exchange(scheduler, holder, now) -> None:
+    for _, message in holder.take_messages(now):
+        if isinstance(message, m.Demand):
+            scheduler.demand("h", message, now)
+        else:
+            scheduler.returned("h", message, now)
+    scheduler.allocate(now)
+    for batch in scheduler.take_messages().values():
+        for message in batch:
+            if isinstance(message, m.Registered):
+                holder.registered(message, now)
+            elif isinstance(message, m.Granted):
+                holder.add_permits(message, now)
+            else:
+                holder.recall(message, now)
+    scheduler.take_decisions()
+
+
+def _time_grants(teams: int, servers: int) -> float:
+    """Return microseconds for each grant and return of a contended pool."""
+    _stamps.clear()
+    scheduler, holder = _make_zone(servers, slots=8)
+    now = 11.0
+    for n in range(teams * 40):
+        holder.submit(f"r{n}", "pool-0", f"team-{n % teams}", 1e9, now)
+    _exchange(scheduler, holder, now)
+    started = 0
+    began_at = time.perf_counter()
+    for _ in range(30):
+        now += 0.3
+        starts = holder.take_starts()
+        started += len(starts)
+        for start in starts:
+            holder.finish(start.permit.permit_id, now)
+        scheduler.register("h", holder.next_register("az", "e", now), now)
+        for n in range(servers):
+            _report(scheduler, f"vm-{n}", "pool-0", 8, now)
+        _exchange(scheduler, holder, now)
+    return (time.perf_counter() - began_at) / started * 1e6
+
+
+def measure_scheduler() -> None:
+    """Show the time of a grant, by teams that wait and by servers."""
+    points = [(n, _time_grants(n, 2)) for n in (6, 20, 43, 86)]
+    show_slope("grant_cpu_by_waiting_team", points, "us")
+    points = [(n, _time_grants(20, n)) for n in (2, 8, 16, 32)]
+    show_slope("grant_cpu_by_server_of_pool", points, "us")
+    points = []
+    for servers in (50, 100, 200, 400):
+        _stamps.clear()
+        scheduler, _ = _make_zone(servers, 8, pools=47)
+        began_at = time.perf_counter()
+        for turn in range(5):
+            for n in range(servers):
+                _report(scheduler, f"vm-{n}", f"pool-{n % 47}", 8, 20.0 + turn)
+            scheduler.tick(20.0 + turn)
+            scheduler.allocate(20.0 + turn)
+            scheduler.take_messages()
+        points.append((servers, (time.perf_counter() - began_at) / 5 * 1000))
+    show_slope("scheduler_round_cpu_by_server", points, "ms")
+
+
+def measure_placement() -> None:
+    """Show the queue's cost for requests that wait and are cancelled."""
+    points = []
+    for count in (1000, 2500, 5000, 10000):
+        holder = PermitHolder("az")
+        for n in range(count):
+            holder.submit(f"r{n}", "pool", f"team-{n % 6}", 1e9, 0.0)
+        began_at = time.perf_counter()
+        for n in range(count):
+            holder.cancel(f"r{n}")
+        holder.take_messages(0.0)
+        points.append((count, (time.perf_counter() - began_at) * 1000))
+    show_slope("cancel_wave_cpu_by_request", points, "ms")
+
+
+async def _measure_idle(entry_vms_per_zone: int):
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+        fleet = LocalFleet(
+            pathlib.Path(folder),
+            BASE,
+            SITE,
+            entry_vms_per_zone=entry_vms_per_zone,
+            with_servers=False,
+        )
+        async with fleet:
+            return await _measure_usage(fleet)
+
+
+async def _measure_usage(fleet):
+    await asyncio.sleep(SETTLE_SECONDS)
+    vms = list(fleet.entry_vms.values())
+    before = [process_usage(vm.process.pid) for vm in vms]
+    bytes_before = await read_counters(fleet)
+    began_at = time.monotonic()
+    await asyncio.sleep(MEASURE_SECONDS)
+    seconds = time.monotonic() - began_at
+    after = [process_usage(vm.process.pid) for vm in vms]
+    bytes_after = await read_counters(fleet)
+    cores = [
+        100 * (b.cpu_seconds - a.cpu_seconds) / seconds
+        for a, b in zip(before, after, strict=True)
+    ]
+    sent = [(bytes_after[v] - bytes_before[v]) / seconds for v in bytes_after]
+    memory = max(usage.memory_mib for usage in after)
+    return max(sent), statistics.mean(sent), statistics.mean(cores), memory
+
+
+async def measure_entry_vms() -> None:
+    """Show the idle cost of an entry VM by their number."""
+    results = []
+    for per_zone in (1, 2, 4, 6):
+        results.append((3 * per_zone, await _measure_idle(per_zone)))
+    for place, name, unit in (
+        (0, "idle_link_sent_max", "B/s"),
+        (1, "idle_link_sent_mean", "B/s"),
+        (2, "idle_core_share", "%"),
+        (3, "idle_memory", "MiB"),
+    ):
+        points = [(n, result[place]) for n, result in results]
+        show_slope(f"{name}_by_entry_vm", points, unit)
+
+
+async def measure_servers() -> None:
+    """Show what announcements cost an entry VM, by backend servers."""
+    results = []
+    for per_pool in (2, 6, 12, 20):
+        with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+            site = pathlib.Path(folder) / "many.toml"
+            count = _write_site(site, per_pool)
+            fleet = LocalFleet(
+                pathlib.Path(folder), BASE, site, with_servers=False
+            )
+            servers = await start_servers(fleet)
+            try:
+                async with fleet:
+                    results.append((count, await _measure_usage(fleet)))
+            finally:
+                for process in servers:
+                    process.kill()
+                    await process.wait()
+    for place, name, unit in (
+        (0, "announce_link_sent_max", "B/s"),
+        (2, "announce_core_share", "%"),
+        (3, "announce_memory", "MiB"),
+    ):
+        points = [(n, result[place]) for n, result in results]
+        show_slope(f"{name}_by_server", points, unit)
+
+
+def _write_site(site: pathlib.Path, per_pool: int) -> int:
+    lines = []
+    pools = ("orders", "render", "proofs", "batch", "registers")
+    for zone in ("az-a", "az-b", "az-c"):
+        for pool in pools:
+            for n in range(per_pool):
+                lines += [
+                    f"[vms.{pool}-{zone}-{n}]",
+                    f'availability_zone = "{zone}"',
+                    f'rack = "{zone}-{pool}-{n // 4}"',
+                    f'pool = "{pool}"',
+                ]
+    site.write_text("\n".join(lines) + "\n")
+    return 3 * len(pools) * per_pool
+
+
+def main() -> None:
+    """Measure every slope, or those named on the command line."""
+    chosen = sys.argv[1:]
+    for name, measure in (
+        ("state", measure_state),
+        ("changes", measure_changes),
+        ("scheduler", measure_scheduler),
+        ("queue", measure_placement),
+    ):
+        if not chosen or name in chosen:
+            measure()
+    for name, measure in (
+        ("entry_vms", measure_entry_vms),
+        ("servers", measure_servers),
+    ):
+        if not chosen or name in chosen:
+            asyncio.run(measure())
+
+
+if __name__ == "__main__":
+    main()
--- a/galenarill/entry/claims.py
+++ b/galenarill/entry/claims.py
@@ -24,7 +24,8 @@
 __all__ = ["Claims"]
 
 CLAIM_SECONDS = 1.0
-TABLE_SECONDS = 1.0
+MIN_TABLE_SECONDS = 1.0
+MAX_TABLE_SECONDS = 60.0
 
 
 class Claims:
@@ -40,6 +41,7 @@
         self._table = ClaimTable(self._vm, self._zones, now, time.time())
         self._rounds: dict[str, tuple[ClaimRound, asyncio.Future]] = {}
         self._table_deadline = now
+        self._table_backoff = MIN_TABLE_SECONDS
 
     @property
     def table(self) -> ClaimTable:
@@ -109,7 +111,12 @@
         now = self._loop.time()
         self._table.expire(now)
         if now >= self._table_deadline and self._table.missing:
-            self._table_deadline = now + TABLE_SECONDS
+            # After a cold start of the whole fleet no table is complete, so
+            # asking often would only cost traffic.
+            self._table_deadline = now + self._table_backoff
+            self._table_backoff = min(
+                2 * self._table_backoff, MAX_TABLE_SECONDS
+            )
             for vm in sorted(self._table.missing):
                 self._send(vm, TableRequest())
 
--- a/galenarill/entry/node.py
+++ b/galenarill/entry/node.py
@@ -110,7 +110,9 @@
             self._slots,
             Execution(self._slots, self._connections),
         )
-        self._watch = ZoneWatch(self._vm, az, self._control, self._slots)
+        self._watch = ZoneWatch(
+            self._vm, az, self._control, self._slots, self._mesh.send
+        )
         self._receivers = self._message_receivers()
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -210,6 +212,7 @@
         ):
             for name in module.__all__:
                 receivers[getattr(module, name)] = receive
+        receivers[slot_messages.AllotmentNeed] = self._watch.receive
         receivers[state_messages.Propose] = self._control.receive_proposal
         receivers[state_messages.Proposed] = lambda _, message: (
             self._control.receive_outcome(message)
--- a/galenarill/entry/policy.py
+++ b/galenarill/entry/policy.py
@@ -48,3 +48,7 @@
         if vm.state in (VmState.DRAINING, VmState.MAINTAINED):
             return f"VM {server} is {vm.state.value}"
         return ""
+
+    def is_gone(self, server: VmId) -> bool:
+        """Tell whether an operator has removed the VM from the settings."""
+        return server not in self._get_state().vms
--- a/galenarill/entry/slots.py
+++ b/galenarill/entry/slots.py
@@ -263,8 +263,9 @@
 
     def policy_changed(self) -> None:
         """Apply limits, shares and pool membership that have changed."""
-        if self._scheduler is not None:
-            self._scheduler.policy_changed(self._loop.time())
+        now = self._loop.time()
+        if self._scheduler is not None and self._may_grant(now):
+            self._scheduler.policy_changed(now)
         self._schedule_pump()
 
     def leave(self) -> None:
@@ -280,7 +281,7 @@
         now = self._loop.time()
         self._tick_lease(now)
         self._holder.tick(now)
-        if self._scheduler is not None:
+        if self._scheduler is not None and self._may_grant(now):
             self._scheduler.tick(now)
         is_active = self._holder.permits or self._holder.waiting
         if is_active or now < self._active_deadline:
--- a/galenarill/entry/watch.py
+++ b/galenarill/entry/watch.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from galenarill.entry.control import ControlPath
 from galenarill.entry.slots import Slots
 from galenarill.errors import NotLeaderError
 from galenarill.scheduling import ZoneScheduler
+from galenarill.scheduling.messages import AllotmentNeed
 from galenarill.state import (
     AcknowledgeAllotment,
     AdvanceDrain,
+    GiveAllotment,
+    LimitEscrow,
     ReportLoss,
     ReportReturn,
+    TakeAllotment,
     VmState,
 )
 from galenarill.world import (
@@ -34,18 +39,33 @@
     """Proposes changes that follow from what the scheduler sees.
 
     It reports lost and returned VMs, VMs that have drained, and allotments
-    that the zone keeps to. Each change names the state that it follows from,
-    so repeats and changes that come too late are refused as stale.
+    that the zone keeps to, gives up or needs. Each change names the state that
+    it follows from, so repeats and late changes are refused as stale.
     """
 
     def __init__(
-        self, vm: VmId, az: AvailabilityZoneId, control: ControlPath, slots
+        self,
+        vm: VmId,
+        az: AvailabilityZoneId,
+        control: ControlPath,
+        slots: Slots,
+        send: Callable,
     ):
-        """Make the watch of one entry VM."""
+        """Make the watch of one entry VM.
+
+        Args:
+            vm: This entry VM.
+            az: Its zone.
+            control: Its control path.
+            slots: Its slots.
+            send: Sends a message to a peer.
+        """
+        self._vm = vm
+        self._send_to_peer = send
         self._operator = OperatorId(f"entry VM {vm}")
         self._az = az
         self._control = control
-        self._slots: Slots = slots
+        self._slots = slots
         self._loop = asyncio.get_running_loop()
         self._pending: dict[ChangeId, asyncio.Task] = {}
 
@@ -57,6 +77,20 @@
             if scheduler is not None and self._control.is_current:
                 self._watch_vms(scheduler)
                 self._watch_allotments(scheduler)
+                self._watch_needs(scheduler)
+
+    def receive(self, sender: VmId, message: AllotmentNeed) -> None:
+        """Give up spare allotment for a zone that needs it."""
+        scheduler = self._slots.scheduler
+        if scheduler is None or not self._control.is_current:
+            return
+        spare = scheduler.spare_allotment(message.team)
+        # Half is kept for requests that may come here in the meantime.
+        count = min(message.count, (spare + 1) // 2)
+        if count:
+            command = GiveAllotment(self._az, message.team, count)
+            version = self._control.state.version
+            self._propose(command, f"give:{self._az}:{message.team}:{version}")
 
     def _watch_vms(self, scheduler: ZoneScheduler) -> None:
         now = self._loop.time()
@@ -97,6 +131,21 @@
                 change = f"ack:{self._az}:{team}:{target}:{state.version}"
                 self._propose(command, change)
 
+    def _watch_needs(self, scheduler: ZoneScheduler) -> None:
+        """Take free allotment for waiting requests, or ask other zones."""
+        state = self._control.state
+        for team, count in scheduler.blocked_demand(self._loop.time()).items():
+            escrow = state.limits.get(team, LimitEscrow(0))
+            if escrow.free > 0:
+                command = TakeAllotment(self._az, team, min(count, escrow.free))
+                change = f"take:{self._az}:{team}:{state.version}"
+                self._propose(command, change)
+                continue
+            need = AllotmentNeed(self._az, team, count)
+            for vm, _ in self._slots.schedulers.values():
+                if vm != self._vm:
+                    self._send_to_peer(vm, need)
+
     def _propose(self, command, change: str) -> None:
         change_id = ChangeId(change)
         if change_id in self._pending:
--- a/galenarill/scheduling/messages.py
+++ b/galenarill/scheduling/messages.py
@@ -26,6 +26,7 @@
     "LeaseReply",
     "ServerReport",
     "ServerReportReply",
+    "AllotmentNeed",
 ]
 
 
@@ -287,3 +288,17 @@
     stamp: str
     reason: str = ""
     stop: tuple[AttemptId, ...] = ()
+
+
+class AllotmentNeed(msgspec.Struct, frozen=True, array_like=True, tag="sn"):
+    """Tells other schedulers that a zone has slots but no allotment left.
+
+    Attributes:
+        availability_zone: Zone in need.
+        team: Team whose requests wait.
+        count: Slots that they could use.
+    """
+
+    availability_zone: AvailabilityZoneId
+    team: TeamId
+    count: int
--- a/galenarill/scheduling/policy.py
+++ b/galenarill/scheduling/policy.py
@@ -21,3 +21,7 @@
     @abc.abstractmethod
     def refusal(self, server: VmId, pool: PoolId) -> str:
         """Return why `server` may not serve `pool`, or "" if it may."""
+
+    @abc.abstractmethod
+    def is_gone(self, server: VmId) -> bool:
+        """Tell whether the VM is proved to have stopped for good."""
--- a/galenarill/scheduling/scheduler.py
+++ b/galenarill/scheduling/scheduler.py
@@ -270,16 +270,6 @@
         stop = [a for a in message.running if permit_of(a) in server.orphans]
         return self._report_reply(message, refusal, tuple(stop), now)
 
-    def confirm_stopped(self, vm: VmId, now: float) -> None:
-        """End what has no holder on `vm`, which is proved to have stopped."""
-        server = self._servers.get(vm)
-        if server is None:
-            return
-        self._depart(server, "confirmed stopped")
-        for permit_id, orphan in list(server.orphans.items()):
-            if orphan.fenced_at <= now:
-                self._end_orphan(server, permit_id, now, "confirmed stopped")
-
     def policy_changed(self, now: float) -> None:
         """Apply limits, shares and pool membership that have changed."""
         for team in [t for t, n in self._running.items() if n]:
@@ -288,11 +278,33 @@
         for server in self._servers.values():
             if self._policy.refusal(server.vm, server.pool):
                 self._depart(server, "may no longer serve its pool")
+        self._remove_gone_servers(now)
         for pool in self._pools.values():
             for team in pool.waiting:
                 pool.account.set_weight(team, self._policy.weight(team))
         self._dirty.update(self._pools)
 
+    def blocked_demand(self, now: float) -> dict[TeamId, int]:
+        """Return the free slots that teams at their allotment could use."""
+        demand: collections.Counter[TeamId] = collections.Counter()
+        for pool in self._pools.values():
+            free = sum(
+                server.free
+                for server in pool.servers.values()
+                if not self._cause_out(pool, server, now)
+            )
+            for team, by_holder in pool.waiting.items():
+                if self._running[team] >= self._policy.allotment(team):
+                    demand[team] += min(free, sum(by_holder.values()))
+        return {team: count for team, count in demand.items() if count > 0}
+
+    def spare_allotment(self, team: TeamId) -> int:
+        """Return how much of its allotment `team` does not use.
+
+        Requests that wait all the same lack slots, not allotment.
+        """
+        return max(0, self._policy.allotment(team) - self._running[team])
+
     def tick(self, now: float) -> None:
         """End sessions and leases whose deadlines have passed."""
         for vm, session in list(self._holders.items()):
@@ -301,6 +313,7 @@
         for server in self._servers.values():
             if server.lease_deadline <= now and not server.is_leaving:
                 self._depart(server, "did not renew its lease")
+        self._remove_gone_servers(now)
         while self._closed:
             permit_id, closed_at = next(iter(self._closed.items()))
             if closed_at + CLOSED_SECONDS > now:
@@ -543,6 +556,19 @@
         orphan = Orphan(grant.team, grant.pool, now + SESSION_MARGIN_SECONDS)
         self._add_orphan(server, permit_id, orphan, reason)
 
+    def _remove_gone_servers(self, now: float) -> None:
+        """Forget servers whose VMs have stopped for good."""
+        for vm in [vm for vm in self._servers if self._policy.is_gone(vm)]:
+            server = self._servers[vm]
+            for permit_id, orphan in list(server.orphans.items()):
+                if orphan.fenced_at <= now:
+                    self._end_orphan(server, permit_id, now, "VM removed")
+            if not server.used:
+                del self._servers[vm]
+                pool = self._pools[server.pool]
+                pool.servers.pop(vm, None)
+                pool.failures.remove(vm)
+
     def _add_orphan(
         self,
         server: BackendServer,
--- a/galenarill/scheduling/tests/test_scheduler.py
+++ b/galenarill/scheduling/tests/test_scheduler.py
@@ -17,6 +17,7 @@
     def __init__(self, limit=100):
         self.limit = limit
         self.weights = {}
+        self.gone = set()
 
     def allotment(self, team):
         return self.limit
@@ -25,7 +26,10 @@
         return self.weights.get(team, 1.0)
 
     def refusal(self, server, pool):
-        return ""
+        return "removed" if server in self.gone else ""
+
+    def is_gone(self, server):
+        return server in self.gone
 
 
 class Zone:
@@ -231,3 +235,16 @@
     assert len(sent) == 1
     assert len(sent[0][1].lines) == 1
     assert zone.holder.waiting == 0
+
+
+def test_removed_vm_frees_what_it_may_still_run():
+    zone = Zone(Policy(), servers=1)
+    zone.submit("red", 4)
+    zone.finish(4, failed=True, running="ep1.1.1~red")
+    zone.wait(0.5)
+    assert zone.scheduler.running("red") == 4
+    zone.policy.gone.add("s0")
+    zone.scheduler.policy_changed(zone.now)
+    zone.exchange()
+    assert zone.scheduler.running("red") == 0
+    assert not zone.scheduler.servers
--- a/galenarill/scheduling/tests/test_slots_machine.py
+++ b/galenarill/scheduling/tests/test_slots_machine.py
@@ -46,6 +46,9 @@
     def refusal(self, server, pool):
         return "drained" if server in self.refused else ""
 
+    def is_gone(self, server):
+        return False
+
 
 class Server:
     """A backend server with its own record of what runs."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,9 +1,11 @@
 """A whole fleet on loopback: real entry VM processes and stand-ins."""
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -21,13 +23,20 @@
 
 START_SECONDS = 30.0
 STOP_SECONDS = 30.0
+PORTS = range(15_000, 32_000)
 
 
 def free_port() -> int:
-    """Return a port of loopback that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port of loopback that nobody uses.
+
+    It lies below the range that the kernel takes for outgoing connections, so
+    that none of these gets it before the process that is to listen on it.
+    """
+    for port in random.sample(PORTS, len(PORTS)):
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise RuntimeError("no port is free")
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,61 @@
+"""Upper limits that move between zones, with real processes."""
+
+import asyncio
+import json
+
+from tests.fleets import (
+    assert_limits_held,
+    eventually,
+    most_running_by_team,
+    run_with_fleet,
+)
+
+
+def test_whole_limit_is_usable_in_one_zone():
+    run_with_fleet(_scenario)
+
+
+async def _scenario(fleet):
+    vm = "entry-az-a-1"
+    for server in fleet.servers.values():
+        if server.vm.startswith("render") and "-a" not in server.vm:
+            server.is_leaving = True
+    await asyncio.sleep(2)
+    # The walk-in team may run 12: 4 in each zone, 16 slots in this one.
+    is_done = False
+
+    async def call():
+        while not is_done:
+            status, _, data = await fleet.submit(
+                vm,
+                "render",
+                "walk-in",
+                tail="x?sleep=0.5",
+                headers={"Galenarill-Timeout-Seconds": "20"},
+            )
+            assert status == 200, data
+
+    calls = [asyncio.create_task(call()) for _ in range(20)]
+
+    async def runs_twelve():
+        return most_running_by_team(fleet).get("walk-in") == 12
+
+    await eventually(runs_twelve, 15, "the whole limit is used")
+    # A lower limit is in force as soon as running work has ended.
+    edits = [{"path": ["teams", "walk-in", "upper_limit"], "value": 3}]
+    status, answer = await fleet.admin(
+        "POST", "settings", json={"edits": edits}
+    )
+    assert status == 200, answer
+    await asyncio.sleep(1.5)
+    for server in fleet.servers.values():
+        server.executions.clear()
+    await asyncio.sleep(4)
+    is_done = True
+    await asyncio.gather(*calls)
+    most = most_running_by_team(fleet)["walk-in"]
+    assert 1 <= most <= 3, most
+    assert_limits_held(fleet)
+    _, shown = await fleet.admin("GET", "status")
+    held = shown["teams"]["walk-in"]["held"]
+    assert sum(held.values()) <= 3, json.dumps(held)
