--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,7 +4,14 @@
 import importlib
 import sys
 
-BENCHMARKS = ("added_cost", "burst", "outage", "control_cost", "log")
+BENCHMARKS = (
+    "added_cost",
+    "burst",
+    "baselines",
+    "outage",
+    "control_cost",
+    "log",
+)
 
 
 def main() -> None:
--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -42,7 +42,13 @@
 
 
 async def run() -> None:
-    """Print how the burst was served."""
+    """Print how two bursts were served: an even one and a greedy one."""
+    await _run_one("burst", {})
+    # One small team asks for ten times as much as before.
+    await _run_one("greedy_burst", {"batch": 10.0})
+
+
+async def _run_one(name: str, factors: dict[str, float]) -> None:
     with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
         fleet = LocalFleet(
             pathlib.Path(folder),
@@ -58,16 +64,16 @@
             async with fleet:
                 await asyncio.sleep(4)
                 before = await read_counters(fleet)
-                sent, windows = await send_bursts(fleet)
+                sent, windows = await send_bursts(fleet, factors)
                 after = await read_counters(fleet)
                 records = await read_records(servers)
         finally:
             for process in servers:
                 process.kill()
                 await process.wait()
-    report(fleet, sent, windows, records)
+    report(name, fleet, sent, windows, records)
     used = sum(after.values()) - sum(before.values())
-    show("burst_control_bytes_per_request", used / len(sent), "B")
+    show(f"{name}_control_bytes_per_request", used / len(sent), "B")
 
 
 async def start_servers(fleet, slots: int = 8):
@@ -111,8 +117,16 @@
     return records
 
 
-async def send_bursts(fleet):
-    """Send each queue's burst in turn, and a trickle on the others."""
+async def send_bursts(fleet, factors: dict[str, float]):
+    """Send each queue's burst in turn, and a trickle on the others.
+
+    Args:
+        fleet: The fleet.
+        factors: How much more than twice its share a team asks for.
+
+    Returns:
+        What was sent, and the time of each queue's burst without its ramp.
+    """
     rng = random.Random(SEED)
     sent: list[Sent] = []
     tasks = []
@@ -125,7 +139,7 @@
         )
         rates = {q: IDLE_RATE for q in QUEUES} | {bursting: BURST_RATE}
         senders = [
-            _send_at_rate(fleet, rng, q, rate, sent, tasks)
+            _send_at_rate(fleet, rng, q, rate, factors, sent, tasks)
             for q, rate in rates.items()
         ]
         await asyncio.gather(*senders)
@@ -133,14 +147,19 @@
     return sent, windows
 
 
-async def _send_at_rate(fleet, rng, queue, rate, sent, tasks) -> None:
+async def _send_at_rate(fleet, rng, queue, rate, factors, sent, tasks) -> None:
     """Send requests of random teams at random times, whatever comes back."""
     loop = asyncio.get_running_loop()
     end = loop.time() + BURST_SECONDS
     due = loop.time() + rng.expovariate(rate)
     teams = list(fleet.keys)
     # Every team asks for twice its share.
-    weights = [float(fleet.settings.settings.teams[t].share) for t in teams]
+    shares = [float(fleet.settings.settings.teams[t].share) for t in teams]
+    weights = [
+        share * factors.get(team, 1.0)
+        for team, share in zip(teams, shares, strict=True)
+    ]
+    rate *= sum(weights) / sum(shares)
     vms = list(fleet.entry_vms)
     while due < end:
         await asyncio.sleep(max(0.0, due - loop.time()))
@@ -167,15 +186,15 @@
         item.run = json.loads(data)["run"]
 
 
-def report(fleet, sent, windows, records) -> None:
+def report(name, fleet, sent, windows, records) -> None:
     """Print the figures of a burst from the backend servers' records."""
     answered = [item for item in sent if item.status == 200]
     refused = [item for item in sent if item.run == "not-run"]
     runs = [run for record in records for run in record["executions"]]
     requests = [run[0] for run in runs]
-    show("burst_requests", len(sent), "1")
-    show("burst_answered", len(answered), "1")
-    show("burst_refused_not_run", len(refused), "1")
+    show(f"{name}_requests", len(sent), "1")
+    show(f"{name}_answered", len(answered), "1")
+    show(f"{name}_refused_not_run", len(refused), "1")
     show(
         "burst_neither",
         len(sent) - len(answered) - len(refused),
@@ -183,18 +202,18 @@
     )
     # Every execution belongs to an answer and the reverse: refusals are true,
     # nothing is lost or doubled.
-    show("burst_executions_without_answer", len(runs) - len(answered), "1")
-    show("burst_doubled", len(requests) - len(set(requests)), "1")
+    show(f"{name}_executions_without_answer", len(runs) - len(answered), "1")
+    show(f"{name}_doubled", len(requests) - len(set(requests)), "1")
     most = max(record["most_running"] for record in records)
-    show("burst_most_running_on_a_server", most, "1")
+    show(f"{name}_most_running_on_a_server", most, "1")
     most = max(record["most_connections"] for record in records)
-    show("burst_most_connections_to_a_server", most, "1")
+    show(f"{name}_most_connections_to_a_server", most, "1")
     trickle = [item.seconds for item in answered]
-    show("burst_p50", quantile(trickle, 0.5) * 1000, "ms")
-    _report_windows(fleet, windows, records)
+    show(f"{name}_p50", quantile(trickle, 0.5) * 1000, "ms")
+    _report_windows(name, fleet, windows, records)
 
 
-def _report_windows(fleet, windows, records) -> None:
+def _report_windows(name, fleet, windows, records) -> None:
     weights = {
         name: float(team.share)
         for name, team in fleet.settings.settings.teams.items()
@@ -222,10 +241,10 @@
             abs(used[team] / total - weight / total_weight) * 100
             for team, weight in weights.items()
         ]
-    show("burst_slots_busy_while_work_waits_min", min(busy) * 100, "%")
-    show("burst_slots_busy_while_work_waits_mean", _mean(busy) * 100, "%")
-    show("burst_share_error_max", max(errors), "points")
-    show("burst_share_error_mean", _mean(errors), "points")
+    show(f"{name}_slots_busy_while_work_waits_min", min(busy) * 100, "%")
+    show(f"{name}_slots_busy_while_work_waits_mean", _mean(busy) * 100, "%")
+    show(f"{name}_share_error_max", max(errors), "points")
+    show(f"{name}_share_error_mean", _mean(errors), "points")
 
 
 def _mean(values) -> float:
