Add TLS for every listener and link, reloaded without a restart

Change: certificates by settings, mutual on links, one server certificate for callers, operators and backend servers; files that change are taken up by new connections; the command line trusts GALENARILL_CA_FILE. Tests with raw, slow and half-closed senders.

--- a/galenarill/cli/client.py
+++ b/galenarill/cli/client.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import secrets
+import ssl
 from decimal import Decimal
 
 import aiohttp
@@ -24,6 +25,7 @@
 CALL_SECONDS = 8.0
 ATTEMPTS = 4
 ENDPOINTS_VARIABLE = "GALENARILL_ENDPOINTS"
+CA_FILE_VARIABLE = "GALENARILL_CA_FILE"
 KEY_FILE_VARIABLE = "GALENARILL_OPERATOR_KEY_FILE"
 _encode = msgspec.json.Encoder(decimal_format="number").encode
 
@@ -46,13 +48,20 @@
 class AdminClient:
     """Calls any entry VM that answers; use it as a context manager."""
 
-    def __init__(self, endpoints: list[str], key: str):
+    def __init__(
+        self,
+        endpoints: list[str],
+        key: str,
+        tls: ssl.SSLContext | None = None,
+    ):
         """Make a client.
 
         Args:
             endpoints: `host:port` of entry VMs, tried in order.
             key: Operator's credential.
+            tls: For the connections, or None for plain HTTP.
         """
+        self._tls = tls
         self._endpoints = endpoints
         self._headers = {"Authorization": f"Bearer {key}"}
         self._session: aiohttp.ClientSession | None = None
@@ -146,7 +155,8 @@
     ) -> dict:
         async with self._session.request(
             method,
-            f"http://{target}/v1/admin/{path}",
+            f"{'https' if self._tls else 'http'}://{target}/v1/admin/{path}",
+            ssl=self._tls or True,
             data=None if body is None else _encode(body),
             headers={**self._headers, **headers},
         ) as response:
@@ -185,4 +195,13 @@
             f"{KEY_FILE_VARIABLE} must name a file with the operator's "
             f"credential: {error}"
         ) from error
-    return AdminClient(endpoints, key)
+    tls = None
+    if ca := os.environ.get(CA_FILE_VARIABLE):
+        try:
+            tls = ssl.create_default_context(cafile=ca)
+        except OSError as error:
+            text = f"{CA_FILE_VARIABLE}: {ca} cannot be used: {error}"
+            raise GalenarillError(text) from error
+        # Entry VMs are addressed by number.
+        tls.check_hostname = False
+    return AdminClient(endpoints, key, tls)
--- a/galenarill/entry/callers.py
+++ b/galenarill/entry/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import ssl
 import time
 
 from aiohttp import web
@@ -92,8 +93,20 @@
         claims: Claims,
         slots: Slots,
         execution: Execution,
+        tls: ssl.SSLContext | None = None,
     ):
-        """Make the interface of one entry VM."""
+        """Make the interface of one entry VM.
+
+        Args:
+            settings: Settings of this process.
+            get_state: Returns the replicated state.
+            keys: Key ring of this VM.
+            claims: Claims of this VM.
+            slots: Slots of this VM.
+            execution: Runs requests.
+            tls: For connections to other entry VMs, or None.
+        """
+        self._tls = tls
         self._loop = asyncio.get_running_loop()
         az = AvailabilityZoneId(settings.own.availability_zone)
         self._ids = RequestIds(az)
@@ -308,7 +321,7 @@
         address = self._peers.get(owner)
         if address is None or owner == self._vm:
             return _unknown_outcome(request_id)
-        response = await relay_answer(request, address, request_id)
+        response = await relay_answer(request, address, request_id, self._tls)
         return response or _unknown_outcome(request_id)
 
     async def _run_kept(
@@ -381,7 +394,9 @@
                 return self._refused_key(verdict)
             if "Galenarill-Relayed" not in request.headers:
                 for address in self._other_addresses():
-                    response = await relay_answer(request, address, request_id)
+                    response = await relay_answer(
+                        request, address, request_id, self._tls
+                    )
                     if response is not None:
                         return response
             return problem(
--- a/galenarill/entry/node.py
+++ b/galenarill/entry/node.py
@@ -26,7 +26,8 @@
 from galenarill.entry.servers import ServerInterface
 from galenarill.entry.slots import Slots
 from galenarill.entry.watch import ZoneWatch
-from galenarill.links import Mesh
+from galenarill.errors import SettingsError
+from galenarill.links import Mesh, load_certificates
 from galenarill.maintenance import HttpPlatform, MaintenanceDriver
 from galenarill.membership import messages as membership_messages
 from galenarill.scheduling import messages as slot_messages
@@ -41,6 +42,7 @@
 IDLE_TICK_SECONDS = 0.1
 HEARTBEAT_SECONDS = 1.0
 LOG_FLUSH_SECONDS = 0.5
+RELOAD_SECONDS = 2.0
 # Time for which a leaving VM serves on, so that the balancer and the peers
 # stop sending before it stops listening.
 LEAVE_SECONDS = 3.0
@@ -72,6 +74,11 @@
         self._started_at = time.monotonic()
         az = AvailabilityZoneId(settings.own.availability_zone)
         secret = pathlib.Path(settings.link_secret_file).read_bytes().strip()
+        self._certificates = load_certificates(
+            settings.tls_certificate_file,
+            settings.tls_key_file,
+            settings.tls_ca_file,
+        )
         self._mesh = Mesh(
             self._vm,
             settings.own.links,
@@ -83,6 +90,7 @@
             secret,
             self._on_message,
             self._on_link,
+            self._certificates,
         )
         self._control = open_control_path(
             settings, self._mesh.send, self._on_applied
@@ -109,6 +117,7 @@
             self._claims,
             self._slots,
             Execution(self._slots, self._connections),
+            self._certificates and self._certificates.for_dialling,
         )
         self._watch = ZoneWatch(
             self._vm, az, self._control, self._slots, self._mesh.send
@@ -127,7 +136,12 @@
         await runner.setup()
         host, _, port = self._settings.own.callers.rpartition(":")
         site = web.TCPSite(
-            runner, host, int(port), reuse_address=True, backlog=1024
+            runner,
+            host,
+            int(port),
+            reuse_address=True,
+            backlog=1024,
+            ssl_context=self._certificates and self._certificates.for_callers,
         )
         await site.start()
         tasks = [
@@ -138,6 +152,7 @@
                 self._flush_logs(),
                 self._watch.run(),
                 self._drive_maintenance(),
+                self._reload_certificates(),
             )
         ]
         logger.info("started", extra={"listen": self._settings.own.callers})
@@ -282,6 +297,15 @@
         async with contextlib.aclosing(platform):
             await MaintenanceDriver(self._vm, self._control, platform).run()
 
+    async def _reload_certificates(self) -> None:
+        while True:
+            await asyncio.sleep(RELOAD_SECONDS)
+            try:
+                if self._certificates and self._certificates.reload():
+                    logger.info("certificates reloaded")
+            except SettingsError as error:
+                logger.error("certificates", extra={"why": str(error)})
+
     def _gauges(self) -> dict:
         counters = self._mesh.counters
         holder = self._slots.holder
--- a/galenarill/entry/relay.py
+++ b/galenarill/entry/relay.py
@@ -1,5 +1,7 @@
 """Fetching a kept answer from another entry VM."""
 
+import ssl
+
 import aiohttp
 from aiohttp import web
 
@@ -13,7 +15,10 @@
 
 
 async def relay_answer(
-    request: web.Request, address: str, request_id: RequestId
+    request: web.Request,
+    address: str,
+    request_id: RequestId,
+    tls: ssl.SSLContext | None,
 ) -> web.StreamResponse | None:
     """Pass on the answer that another entry VM keeps.
 
@@ -21,6 +26,7 @@
         request: Request of the caller, whose key is shown to the other VM.
         address: `host:port` of the other VM.
         request_id: Id whose answer is wanted.
+        tls: For the connection, or None for plain HTTP.
 
     Returns:
         The answer, or None if it is not there or the VM cannot be reached.
@@ -29,6 +35,7 @@
     for name in ("Authorization", "Galenarill-Timeout-Seconds"):
         if name in request.headers:
             headers[name] = request.headers[name]
+    scheme = "https" if tls else "http"
     timeout = aiohttp.ClientTimeout(
         total=RELAY_SECONDS, sock_connect=CONNECT_SECONDS
     )
@@ -38,7 +45,9 @@
                 timeout=timeout, auto_decompress=False
             ) as session,
             session.get(
-                f"http://{address}/v1/requests/{request_id}", headers=headers
+                f"{scheme}://{address}/v1/requests/{request_id}",
+                headers=headers,
+                ssl=tls or True,
             ) as answer,
         ):
             if answer.status == 404:
--- a/galenarill/links/__init__.py
+++ b/galenarill/links/__init__.py
@@ -2,3 +2,4 @@
 
 from galenarill.links.codec import *  # noqa: F403
 from galenarill.links.mesh import *  # noqa: F403
+from galenarill.links.tls import *  # noqa: F403
--- a/galenarill/links/mesh.py
+++ b/galenarill/links/mesh.py
@@ -18,6 +18,7 @@
     decode_batch,
     encode_batch,
 )
+from galenarill.links.tls import Certificates
 from galenarill.world import VmId
 
 __all__ = ["Mesh", "LinkCounters"]
@@ -76,6 +77,7 @@
         secret: bytes,
         on_message: Callable[[VmId, msgspec.Struct], None],
         on_change: Callable[[VmId, bool], None],
+        certificates: Certificates | None = None,
     ):
         """Make a mesh that is not yet started.
 
@@ -86,7 +88,9 @@
             secret: Secret that the entry VMs share.
             on_message: Called with the sender and each message.
             on_change: Called with a peer and whether its link is up.
+            certificates: For TLS, or None.
         """
+        self._certificates = certificates
         self._vm = vm
         self._address = address
         self._peers = dict(peers)
@@ -119,6 +123,7 @@
             max_size=MAX_FRAME_BYTES,
             ping_interval=None,
             open_timeout=HANDSHAKE_SECONDS,
+            ssl=self._certificates and self._certificates.for_peers,
         )
         for peer in self._peers:
             if self._vm < peer:
@@ -187,8 +192,11 @@
             backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
 
     async def _dial(self, peer: VmId) -> bool:
+        certificates = self._certificates
+        scheme = "wss" if certificates else "ws"
         async with client.connect(
-            f"ws://{self._peers[peer]}",
+            f"{scheme}://{self._peers[peer]}",
+            ssl=certificates and certificates.for_dialling,
             compression=None,
             max_size=MAX_FRAME_BYTES,
             ping_interval=None,
--- /dev/null
+++ b/galenarill/links/tls.py
@@ -0,0 +1,111 @@
+"""TLS for links and listeners, with certificates that can be replaced."""
+
+import pathlib
+import ssl
+
+from galenarill.errors import Finding, SettingsError
+
+__all__ = ["Certificates", "load_certificates"]
+
+
+class Certificates:
+    """One certificate, its key and the authority that signs the peers'.
+
+    A replaced file is taken up by new connections; those that are open stay.
+    """
+
+    def __init__(
+        self, certificate: pathlib.Path, key: pathlib.Path, ca: pathlib.Path
+    ):
+        """Wrap files; see `load_certificates`."""
+        self._certificate = certificate
+        self._key = key
+        self._ca = ca
+        self._server = ssl.create_default_context(
+            ssl.Purpose.CLIENT_AUTH, cafile=ca
+        )
+        self._peer_server = ssl.create_default_context(
+            ssl.Purpose.CLIENT_AUTH, cafile=ca
+        )
+        self._peer_server.verify_mode = ssl.CERT_REQUIRED
+        self._client = ssl.create_default_context(cafile=ca)
+        # Peers are dialled by number; the handshake on the link proves which
+        # entry VM answers, and the authority that it belongs to the fleet.
+        self._client.check_hostname = False
+        self._modified = self._modification_times()
+        self._load()
+
+    @property
+    def for_callers(self) -> ssl.SSLContext:
+        """Context of the listener for callers, who show no certificate."""
+        return self._server
+
+    @property
+    def for_peers(self) -> ssl.SSLContext:
+        """Context of the listener for links, where both sides show one."""
+        return self._peer_server
+
+    @property
+    def for_dialling(self) -> ssl.SSLContext:
+        """Context for connections to other entry VMs."""
+        return self._client
+
+    def reload(self) -> bool:
+        """Load the files again if they have changed.
+
+        Returns:
+            Whether they have.
+
+        Raises:
+            SettingsError: If the new files cannot be used; the old ones stay.
+        """
+        modified = self._modification_times()
+        if modified == self._modified:
+            return False
+        self._load()
+        self._modified = modified
+        return True
+
+    def _modification_times(self) -> tuple[int, ...]:
+        try:
+            files = (self._certificate, self._key)
+            return tuple(file.stat().st_mtime_ns for file in files)
+        except OSError as error:
+            raise _unusable(self._certificate, error) from error
+
+    def _load(self) -> None:
+        for context in (self._server, self._peer_server, self._client):
+            try:
+                context.load_cert_chain(self._certificate, self._key)
+            except (OSError, ssl.SSLError) as error:
+                raise _unusable(self._certificate, error) from error
+
+
+def load_certificates(
+    certificate: str, key: str, ca: str
+) -> Certificates | None:
+    """Load certificates for TLS.
+
+    Args:
+        certificate: PEM file of this VM's certificate, or "" for no TLS.
+        key: PEM file of its private key.
+        ca: PEM file of the authority that signs every entry VM's.
+
+    Returns:
+        The certificates, or None for no TLS.
+
+    Raises:
+        SettingsError: If the files cannot be used.
+    """
+    if not certificate:
+        return None
+    try:
+        return Certificates(
+            pathlib.Path(certificate), pathlib.Path(key), pathlib.Path(ca)
+        )
+    except (OSError, ssl.SSLError) as error:
+        raise _unusable(pathlib.Path(ca), error) from error
+
+
+def _unusable(file: pathlib.Path, error: Exception) -> SettingsError:
+    return SettingsError(Finding(str(file), 0, "tls", f"not usable: {error}"))
--- a/galenarill/settings/process.py
+++ b/galenarill/settings/process.py
@@ -46,6 +46,10 @@
         platform: Base URL of the platform's interface, or "".
         server_secret_file: File with the secret that backend servers present,
             or "" if they need none.
+        tls_certificate_file: PEM file of this VM's certificate, or "" for no
+            TLS.
+        tls_key_file: PEM file of its private key.
+        tls_ca_file: PEM file of the authority that signs every entry VM's.
     """
 
     vm: str
@@ -56,6 +60,9 @@
     log_file: str = ""
     platform: str = ""
     server_secret_file: str = ""
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
+    tls_ca_file: str = ""
 
     @property
     def own(self) -> PeerSettings:
@@ -127,6 +134,14 @@
             if not host or not port.isdigit():
                 text = f"must be host:port, not {getattr(peer, key)!r}"
                 faults.append((f"entry_vms.{peer.id}.{key}", text))
+    tls = (
+        settings.tls_certificate_file,
+        settings.tls_key_file,
+        settings.tls_ca_file,
+    )
+    if any(tls) and not all(tls):
+        text = "certificate, key and authority go together"
+        faults.append(("tls_certificate_file", text))
     if not faults and settings.own.voter and not settings.data_folder:
         faults.append(("data_folder", "a voter needs a data folder"))
     return faults
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -8,7 +8,9 @@
 import random
 import signal
 import socket
+import ssl
 import sys
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
@@ -79,6 +81,8 @@
         with_proxies: bool = False,
         slots: int = 8,
         with_servers: bool = True,
+        tls_ca: ssl.SSLContext | None = None,
+        extra_settings: Callable[[str], list[str]] | None = None,
     ):
         """Describe a fleet; see `__aenter__` for its start.
 
@@ -91,6 +95,8 @@
             with_proxies: Whether links pass through fault-injecting proxies.
             slots: Slots of each backend server.
             with_servers: Whether to start the backend servers here.
+            tls_ca: For connections to the entry VMs, if they use TLS.
+            extra_settings: Returns further settings of an entry VM's process.
         """
         self.folder = folder
         self.settings = load_settings(base, overlay)
@@ -102,6 +108,9 @@
         self.session: aiohttp.ClientSession | None = None
         self.keys: dict[str, str] = {}
         self._with_servers = with_servers
+        self._tls = tls_ca
+        self.scheme = "https" if tls_ca else "http"
+        self._extra_settings = extra_settings
         self._slots = slots
         self._change = 0
         for zone in zones:
@@ -119,7 +128,7 @@
     async def __aenter__(self) -> "LocalFleet":
         """Start everything, apply the settings and give each team a key."""
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(limit=0, ssl=self._tls or True),
             timeout=aiohttp.ClientTimeout(total=120),
         )
         try:
@@ -205,7 +214,7 @@
         target = self.entry_vms[vm] if vm else self._some_entry_vm()
         headers = kwargs.pop("headers", {})
         headers["Authorization"] = f"Bearer {self.operator_key}"
-        url = f"http://{target.callers}/v1/admin/{path}"
+        url = f"{self.scheme}://{target.callers}/v1/admin/{path}"
         async with self.session.request(
             method, url, headers=headers, **kwargs
         ) as response:
@@ -222,7 +231,8 @@
         headers = kwargs.pop("headers", {})
         if team is not None:
             headers["Authorization"] = f"Bearer {self.keys[team]}"
-        url = f"http://{self.entry_vms[vm].callers}/v1/queues/{queue}/{tail}"
+        address = self.entry_vms[vm].callers
+        url = f"{self.scheme}://{address}/v1/queues/{queue}/{tail}"
         async with self.session.request(
             method, url, headers=headers, **kwargs
         ) as response:
@@ -269,7 +279,7 @@
         """Ask an entry VM's readiness endpoint."""
         try:
             async with self.session.get(
-                f"http://{self.entry_vms[vm].callers}/readyz"
+                f"{self.scheme}://{self.entry_vms[vm].callers}/readyz"
             ) as response:
                 return response.status == 200
         except aiohttp.ClientError:
@@ -327,6 +337,7 @@
         addresses = [vm.callers for vm in self.entry_vms.values()]
         for vm, vm_settings in self.settings.settings.vms.items():
             server = FakeServer(vm, vm_settings.pool, addresses, self._slots)
+            server.tls = self._tls
             self.servers[vm] = server
             await server.start()
 
@@ -361,6 +372,8 @@
         ]
         if vm.is_voter:
             lines.append(f'data_folder = "{self.folder / vm.id}.data"')
+        if self._extra_settings is not None:
+            lines += self._extra_settings(vm_id)
         for peer in self.entry_vms.values():
             links = peer.links
             if peer.id in vm.proxies:
--- a/standins/server.py
+++ b/standins/server.py
@@ -7,6 +7,7 @@
 import itertools
 import random
 import secrets
+import ssl
 import time
 
 import aiohttp
@@ -70,6 +71,7 @@
         self.fails_everything = False
         self.is_silent = False
         self.is_leaving = False
+        self.tls: ssl.SSLContext | None = None
         self.address = ""
         self._seen = ""
         self._sequence = itertools.count(1)
@@ -193,7 +195,8 @@
         Returns:
             Whether it was taken in.
         """
-        url = f"http://{random.choice(self.entry_vms)}"
+        scheme = "https" if self.tls else "http"
+        url = f"{scheme}://{random.choice(self.entry_vms)}"
         body = {
             "pool": self.pool,
             "address": self.address,
@@ -207,7 +210,9 @@
         }
         try:
             async with session.post(
-                f"{url}/v1/backend-servers/{self.vm}", json=body
+                f"{url}/v1/backend-servers/{self.vm}",
+                json=body,
+                ssl=self.tls or True,
             ) as response:
                 if response.status != 200:
                     return False
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -26,6 +26,7 @@
         _retries,
         _open_queue,
         _limit_in_old_units,
+        _slow_and_broken_senders,
     ):
         print(check.__name__)
         await check(fleet)
@@ -217,3 +218,53 @@
     # 64 units of 1.5 processors and 6 GiB are 48 slots of 2 and 8.
     assert hospital["upper_limit_slots"] == 48
     assert hospital["contract"]["upper_limit_in_units"] == "64"
+
+
+async def _raw(fleet, data, *, eof=False, seconds=8):
+    """Send bytes as they are and return what comes back."""
+    address = next(iter(fleet.entry_vms.values())).callers
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    if eof:
+        writer.write_eof()
+    try:
+        async with asyncio.timeout(seconds):
+            return await reader.read(65536)
+    finally:
+        writer.transport.abort()
+
+
+def _head(fleet, *lines):
+    key = fleet.keys["municipal"]
+    head = [
+        "POST /v1/queues/render/x HTTP/1.1",
+        "Host: x",
+        f"Authorization: Bearer {key}",
+        "Galenarill-Timeout-Seconds: 1",
+        *lines,
+    ]
+    return ("\r\n".join(head) + "\r\n\r\n").encode()
+
+
+async def _slow_and_broken_senders(fleet):
+    """Senders that stop half-way get a clear error or a closed connection."""
+    before = sum(len(s.executions) for s in fleet.servers.values())
+    slow = await _raw(fleet, _head(fleet, "Content-Length: 100") + b"abc")
+    assert b" 400 " in slow and b"too slowly" in slow
+    chunked = _head(fleet, "Transfer-Encoding: chunked")
+    slow = await _raw(fleet, chunked + b"3\r\nabc\r\n")
+    assert b" 400 " in slow and b"too slowly" in slow
+    half_closed = _head(fleet, "Content-Length: 100") + b"abc"
+    assert b" 200 " not in await _raw(fleet, half_closed, eof=True)
+    huge = await _raw(fleet, _head(fleet, f"Content-Length: {1 << 40}"))
+    assert b" 400 " in huge
+    broken = await _raw(fleet, b"\x00\xff not http\r\n\r\n")
+    assert b" 400 " in broken
+    long_header = await _raw(fleet, _head(fleet, "X-Long: " + "y" * 100_000))
+    assert b" 400 " in long_header
+    after = sum(len(s.executions) for s in fleet.servers.values())
+    assert after == before
+    vm = next(iter(fleet.entry_vms))
+    status, _, _ = await fleet.submit(vm, "render", "municipal", data=b"x")
+    assert status == 200
