Build one binary, and let announcements thin out in large zones

Change: make binary builds a PEX and checks it through /proc; the scheduler says when the next announcement is due, 1 s up to 70 servers and then in proportion; the lease is three announcements.

--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,11 @@
 slopes: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.slopes
 
+binary: $(VENV)/.installed
+	$(BIN)/pip install --quiet pex
+	$(BIN)/pex . --output-file dist/galenarill --console-script galenarill \
+		--sh-boot --no-compress --venv prepend
+	$(BIN)/python -m benchmarks.single_process dist/galenarill
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/benchmarks/single_process.py
@@ -0,0 +1,65 @@
+"""Checks that the binary runs as one process without a child."""
+
+import asyncio
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+from benchmarks.figures import process_usage, show
+from standins.fleet import LocalFleet
+
+BASE = pathlib.Path("examples/base.toml")
+SITE = pathlib.Path("examples/printworks/site.toml")
+START_SECONDS = 60.0
+
+
+def _children(pid: int) -> list[str]:
+    return pathlib.Path(f"/proc/{pid}/task/{pid}/children").read_text().split()
+
+
+async def _write_settings(folder: pathlib.Path):
+    fleet = LocalFleet(folder, BASE, SITE, zones=("az-a",))
+    vm = next(iter(fleet.entry_vms.values()))
+    fleet.platform = type("NoPlatform", (), {"address": "127.0.0.1:1"})()
+    fleet._write_shared_files()
+    fleet.write_settings(vm.id)
+    return vm
+
+
+def main() -> None:
+    """Run the binary named on the command line away from the repository."""
+    binary = pathlib.Path(sys.argv[1]).resolve()
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as name:
+        folder = pathlib.Path(name)
+        vm = asyncio.run(_write_settings(folder))
+        environment = {"PATH": os.environ["PATH"], "HOME": name}
+        process = subprocess.Popen(
+            [binary, "serve", folder / f"{vm.id}.toml"],
+            cwd=folder,
+            env=environment,
+        )
+        try:
+            _check(process, folder / f"{vm.id}.log")
+        finally:
+            process.terminate()
+            process.wait()
+
+
+def _check(process: subprocess.Popen, log: pathlib.Path) -> None:
+    deadline = time.monotonic() + START_SECONDS
+    while not log.exists() or "scheduler started" not in log.read_text():
+        if time.monotonic() > deadline or process.poll() is not None:
+            raise SystemExit("the binary did not start to serve")
+        time.sleep(0.2)
+    children = _children(process.pid)
+    show("binary_children", len(children), "1")
+    show("binary_memory", process_usage(process.pid).memory_mib, "MiB")
+    if children:
+        raise SystemExit(f"the binary has children: {children}")
+
+
+if __name__ == "__main__":
+    main()
--- a/galenarill/entry/servers.py
+++ b/galenarill/entry/servers.py
@@ -12,10 +12,8 @@
 from galenarill.scheduling.messages import ServerReport
 from galenarill.world import AttemptId, AvailabilityZoneId, PoolId, VmId
 
-__all__ = ["ServerInterface", "Announcement", "RENEW_SECONDS"]
+__all__ = ["ServerInterface", "Announcement"]
 
-# Time after which a backend server announces itself again.
-RENEW_SECONDS = 1.0
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 
 logger = logging.getLogger(__name__)
@@ -111,7 +109,7 @@
                 "pool": record.pool,
                 "stop": list(reply.stop),
                 "stamp": reply.stamp,
-                "renew_after_seconds": RENEW_SECONDS,
+                "renew_after_seconds": reply.renew_after,
             }
         )
 
--- a/galenarill/scheduling/messages.py
+++ b/galenarill/scheduling/messages.py
@@ -279,6 +279,7 @@
         accepted: Whether the backend server may get work.
         stamp: For the next announcement to repeat, as proof that it was made
             after this reply.
+        renew_after: Seconds until the next announcement is due.
         reason: Why not.
         stop: Attempts that nobody waits for any more.
     """
@@ -286,6 +287,7 @@
     call: int
     accepted: bool
     stamp: str
+    renew_after: float
     reason: str = ""
     stop: tuple[AttemptId, ...] = ()
 
--- a/galenarill/scheduling/scheduler.py
+++ b/galenarill/scheduling/scheduler.py
@@ -13,9 +13,11 @@
 from galenarill.scheduling.policy import SchedulingPolicy
 from galenarill.scheduling.quarantine import FailureComparison
 from galenarill.scheduling.servers import (
+    LEASE_RENEWALS,
     BackendServer,
     Orphan,
     permit_of,
+    renew_seconds,
     team_of,
 )
 from galenarill.scheduling.shares import ShareAccount
@@ -261,7 +263,8 @@
         self._move_pool(server, message.pool)
         if message.leaving and not server.is_leaving:
             self._depart(server, "announced its departure")
-        server.update(message, now)
+        renew = renew_seconds(len(self._servers))
+        server.update(message, now + LEASE_RENEWALS * renew)
         made_after = self._stamp_time(message.seen)
         if self.is_ready(now) and made_after >= self._ready_at:
             server.is_known = True
@@ -478,7 +481,12 @@
     ) -> messages.ServerReportReply:
         stamp = f"{self._epoch}@{now:.6f}"
         return messages.ServerReportReply(
-            message.call, not refusal, stamp, refusal, stop
+            message.call,
+            not refusal,
+            stamp,
+            renew_seconds(len(self._servers)),
+            refusal,
+            stop,
         )
 
     def _stamp_time(self, stamp: str) -> float:
--- a/galenarill/scheduling/servers.py
+++ b/galenarill/scheduling/servers.py
@@ -10,11 +10,17 @@
     "Orphan",
     "permit_of",
     "team_of",
-    "SERVER_LEASE_SECONDS",
+    "renew_seconds",
+    "LEASE_RENEWALS",
 ]
 
-# Time after its last announcement for which a backend server gets work.
-SERVER_LEASE_SECONDS = 3.0
+# Shortest time between two announcements of a backend server.
+MIN_RENEW_SECONDS = 1.0
+# Announcements that a scheduler takes in each second; with more servers,
+# each announces itself less often.
+RENEWALS_PER_SECOND = 70.0
+# Announcements that may be missed before a backend server gets no more work.
+LEASE_RENEWALS = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,14 +79,26 @@
         """Slots that may be granted, negative after a takeover or cut."""
         return self.slots - self.used
 
-    def update(self, report: messages.ServerReport, now: float) -> None:
+    def update(
+        self, report: messages.ServerReport, lease_deadline: float
+    ) -> None:
         """Take over what the backend server says of itself."""
         self.pool = report.pool
         self.address = report.address
         self.sequence = report.sequence
         self.slots = min(report.slots, report.connections)
         self.is_leaving = report.leaving
-        self.lease_deadline = now + SERVER_LEASE_SECONDS
+        self.lease_deadline = lease_deadline
+
+
+def renew_seconds(servers: int) -> float:
+    """Return how often each of `servers` backend servers announces itself.
+
+    Example:
+        >>> renew_seconds(10), renew_seconds(350)
+        (1.0, 5.0)
+    """
+    return max(MIN_RENEW_SECONDS, servers / RENEWALS_PER_SECOND)
 
 
 def permit_of(attempt: AttemptId) -> PermitId:
--- a/standins/server.py
+++ b/standins/server.py
@@ -15,7 +15,6 @@
 
 __all__ = ["FakeServer", "Execution"]
 
-ANNOUNCE_SECONDS = 1.0
 RETRY_SECONDS = 0.2
 CHUNK_BYTES = 16 * 1024
 
@@ -74,6 +73,7 @@
         self.tls: ssl.SSLContext | None = None
         self.address = ""
         self._seen = ""
+        self._renew_seconds = 1.0
         self._sequence = itertools.count(1)
         self._runner: web.AppRunner | None = None
         self._task: asyncio.Task | None = None
@@ -186,7 +186,7 @@
             while True:
                 wait = RETRY_SECONDS
                 if not self.is_silent and await self.announce(session):
-                    wait = ANNOUNCE_SECONDS
+                    wait = self._renew_seconds
                 await asyncio.sleep(wait)
 
     async def announce(self, session: aiohttp.ClientSession) -> bool:
@@ -218,6 +218,7 @@
                     return False
                 reply = await response.json()
                 self.pool, self._seen = reply["pool"], reply["stamp"]
+                self._renew_seconds = reply["renew_after_seconds"]
                 return True
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
