--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -14,6 +14,9 @@
 
 from benchmarks.burst import read_counters, start_servers
 from benchmarks.figures import process_usage, show
+from galenarill.claims import Claim, ClaimRecord, ClaimTable, TableReply
+from galenarill.links import encode_batch
+from galenarill.membership import Heartbeat, HeartbeatReply
 from galenarill.scheduling import (
     PermitHolder,
     SchedulingPolicy,
@@ -231,6 +234,59 @@
     show_slope("cancel_wave_cpu_by_request", points, "ms")
 
 
+def measure_messages() -> None:
+    """Show the payload of the messages that are sent most."""
+    epoch = "az-a-1f2e3d4c"
+    permit_id = f"{epoch}.12345"
+    reason = "most free slots (5 of 8); out: 1 full"
+    permit = m.Permit(
+        permit_id, "render-a1", "5f01aa22", "10.0.0.7:9000", "render",
+        "municipal", True, reason,
+    )  # fmt: skip
+    for name, message in (
+        ("register", m.Register("az-a", epoch, 100)),
+        ("registered", m.Registered("az-a", epoch, 100)),
+        (
+            "demand",
+            m.Demand(
+                "az-a", epoch, (m.DemandLine("render", "municipal", 12, 345),)
+            ),
+        ),
+        ("granted", m.Granted("az-a", epoch, (permit,))),
+        (
+            "returned",
+            m.Returned("az-a", epoch, (m.ReturnedPermit(permit_id, 3),)),
+        ),
+        (
+            "report",
+            m.ServerReport(
+                "render-a1", "az-a", "render", "10.0.0.7:9000", "5f01aa22",
+                100, 8, 60, (f"{permit_id}.3~municipal",), False,
+                f"{epoch}@1234.567890", 7,
+            ),
+        ),
+        (
+            "report_reply",
+            m.ServerReportReply(7, True, f"{epoch}@1234.567890", 1.0),
+        ),
+        ("heartbeat", Heartbeat(1000, epoch, 1 << 62, 1000)),
+        ("heartbeat_reply", HeartbeatReply(1000, True)),
+    ):  # fmt: skip
+        show(f"message_{name}", len(encode_batch([message])), "B")
+    points = []
+    for count in (1000, 2000, 4000, 8000):
+        tracemalloc.start()
+        table = ClaimTable("e1", {"e1": "a", "e2": "a"}, 0.0, 0.0)
+        for vm in ("e2",):
+            table.merge(vm, TableReply((), ()), 0.0)
+        for n in range(count):
+            record = ClaimRecord(f"order-{n:08}", "e1", f"e1.{n:012}", 60.0)
+            table.claim(Claim(record), 0.0)
+        points.append((count, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+    show_slope("claims_memory_by_claim", points, "B")
+
+
 async def _measure_idle(entry_vms_per_zone: int):
     with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
         fleet = LocalFleet(
@@ -329,6 +385,7 @@
         ("changes", measure_changes),
         ("scheduler", measure_scheduler),
         ("queue", measure_placement),
+        ("messages", measure_messages),
     ):
         if not chosen or name in chosen:
             measure()
--- a/galenarill/claims/table.py
+++ b/galenarill/claims/table.py
@@ -14,8 +14,8 @@
 CLAIM_RETENTION_SECONDS = 600.0
 # Difference between the clocks of two entry VMs that is allowed for.
 CLOCK_SKEW_SECONDS = 5.0
-# Claims beyond this number are refused as unsure; about 200 bytes each.
-MAX_CLAIMS = 50_000
+# Claims beyond this number are refused as unsure, to bound memory.
+MAX_CLAIMS = 20_000
 
 
 @dataclasses.dataclass(slots=True)
