Keep the claim of a request that was cancelled while it ran

Cause: cancelling a request that had been sent, before its answer had begun, abandoned its claim, so a resend with the same id ran a second time. Found while reading callers.py. The waiting state was judged by the answer, not by whether a byte had been sent. Change: the request notes whether it may have run; only one that has not is forgotten.

--- a/galenarill/entry/answers.py
+++ b/galenarill/entry/answers.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 
+from galenarill.entry.execution import RequestSpec
 from galenarill.world import RequestId, TeamId
 
 __all__ = ["Answer", "AnswerState", "AnswerStore", "MAX_ANSWER_BYTES"]
@@ -28,8 +29,7 @@
     """The answer to one request, readable while it arrives and afterwards.
 
     Attributes:
-        request: Request id.
-        team: Team that may read it.
+        spec: The request.
         state: How far it has come.
         status: HTTP status, once known.
         headers: Headers, once known.
@@ -39,8 +39,7 @@
         task: Task that runs the request.
     """
 
-    request: RequestId
-    team: TeamId
+    spec: RequestSpec
     state: AnswerState = AnswerState.WAITING
     status: int = 0
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
@@ -50,6 +49,16 @@
     task: asyncio.Task | None = None
     _changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    @property
+    def request(self) -> RequestId:
+        """Request id."""
+        return self.spec.request
+
+    @property
+    def team(self) -> TeamId:
+        """Team that may read the answer."""
+        return self.spec.team
+
     def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Note the head of the answer."""
         self.status = status
--- a/galenarill/entry/callers.py
+++ b/galenarill/entry/callers.py
@@ -1,7 +1,6 @@
 """HTTP interface for callers."""
 
 import asyncio
-import contextlib
 import logging
 import ssl
 import time
@@ -12,18 +11,24 @@
 from galenarill.entry.answers import Answer, AnswerState, AnswerStore
 from galenarill.entry.claims import Claims
 from galenarill.entry.execution import (
-    HOP_BY_HOP_HEADERS,
-    AnswerSink,
     CallerGoneError,
     Execution,
-    RequestBody,
     RequestSpec,
     RunError,
 )
 from galenarill.entry.keyring import KeyRing, KeyVerdict
+from galenarill.entry.parsing import (
+    BadRequestError,
+    is_idempotent,
+    read_body,
+    server_headers,
+    server_path,
+    timeout_seconds,
+)
 from galenarill.entry.policy import OPEN_TEAM
 from galenarill.entry.problems import RunState, problem
 from galenarill.entry.relay import relay_answer
+from galenarill.entry.sinks import CallerSink, KeepingSink
 from galenarill.entry.slots import Slots
 from galenarill.errors import RequestRefusedError
 from galenarill.settings import ProcessSettings, QueueSettings
@@ -38,28 +43,8 @@
 
 __all__ = ["CallerInterface"]
 
-MAX_KEPT_BODY_BYTES = 64 * 1024
-MAX_BODY_BYTES = 256 * 1024 * 1024
-BODY_SECONDS = 20.0
-DEFAULT_TIMEOUT_SECONDS = 30.0
-MAX_TIMEOUT_SECONDS = 600.0
 MAX_REQUESTS = 5_000
 MAX_ISSUED_IDS = 1_000
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
-# Headers that are meant for an entry VM.
-OWN_HEADERS = frozenset(
-    {
-        "authorization",
-        "host",
-        "prefer",
-        "expect",
-        "galenarill-timeout-seconds",
-        "galenarill-idempotent",
-        "galenarill-request-id",
-        "galenarill-attempt-id",
-        "galenarill-team",
-    }
-)
 KEY_STATUS = {
     KeyVerdict.MISSING: 401,
     KeyVerdict.INVALID: 401,
@@ -71,17 +56,12 @@
     "queue-too-long": 503,
     "queue-full": 429,
     "servers-unreachable": 503,
-    "cancelled": 409,
     "entry-vm-full": 503,
 }
 
 logger = logging.getLogger(__name__)
 
 
-class _BadRequest(Exception):
-    """A header or body that a caller must mend."""
-
-
 class CallerInterface:
     """Takes callers' requests and gives them their answers."""
 
@@ -165,7 +145,7 @@
         self._has_no_handlers.clear()
         try:
             return await self._admit(request)
-        except _BadRequest as error:
+        except BadRequestError as error:
             return problem(400, "bad-request", str(error))
         except RequestRefusedError as error:
             return self._refused(error.reason, str(error))
@@ -206,7 +186,7 @@
                 return earlier
         if has_own_id or is_async:
             return await self._run_kept(request, spec, is_async)
-        sink = _CallerSink(request, spec.request, self._is_leaving)
+        sink = CallerSink(request, spec.request, self._is_leaving)
         await self._execution.run(spec, sink)
         return sink.response
 
@@ -247,19 +227,21 @@
     ) -> RequestSpec:
         own_id = request.headers.get("Galenarill-Request-Id")
         if own_id is not None and not is_valid_id(own_id):
-            raise _BadRequest(f"Galenarill-Request-Id {own_id!r} is not valid")
-        deadline = self._loop.time() + _timeout_seconds(request)
+            raise BadRequestError(
+                f"Galenarill-Request-Id {own_id!r} is not valid"
+            )
+        deadline = self._loop.time() + timeout_seconds(request)
         return RequestSpec(
             request=RequestId(own_id or self._ids.issue(time.time())),
             team=team,
             queue=queue_id,
             pool=PoolId(queue.pool),
             method=request.method,
-            path=_server_path(request),
-            headers=_server_headers(request),
-            body=await _read_body(request, deadline),
+            path=server_path(request),
+            headers=server_headers(request),
+            body=await read_body(request, deadline),
             deadline=deadline,
-            is_idempotent=_is_idempotent(request),
+            is_idempotent=is_idempotent(request),
         )
 
     async def _find_earlier(
@@ -328,11 +310,11 @@
         self, request: web.Request, spec: RequestSpec, is_async: bool
     ) -> web.StreamResponse:
         """Run a request whose answer is kept, even if the caller goes."""
-        answer = Answer(spec.request, spec.team)
+        answer = Answer(spec)
         live = None
         if not is_async:
-            live = _CallerSink(request, spec.request, self._is_leaving)
-        sink = _KeepingSink(answer, live)
+            live = CallerSink(request, spec.request, self._is_leaving)
+        sink = KeepingSink(answer, live)
         task = asyncio.create_task(self._execute_kept(spec, answer, sink))
         answer.task = task
         self._answers.add(answer)
@@ -346,15 +328,15 @@
             response = await asyncio.shield(task)
         except asyncio.CancelledError:
             sink.detach()
-            if answer.state is AnswerState.WAITING and task.done():
-                raise RequestRefusedError(
-                    "cancelled", "the request was cancelled before it ran"
-                ) from None
-            raise
+            if not task.cancelled():
+                raise
+            # Cancelled by another call; this caller is still there.
+            run = RunState.UNKNOWN if spec.may_have_run else RunState.NOT_RUN
+            response = problem(409, "cancelled", "it was cancelled", run)
         return response or live.response
 
     async def _execute_kept(
-        self, spec: RequestSpec, answer: Answer, sink: "_KeepingSink"
+        self, spec: RequestSpec, answer: Answer, sink: KeepingSink
     ) -> web.Response | None:
         """Run a request and keep the answer.
 
@@ -370,7 +352,7 @@
         except RunError as error:
             response = problem(error.status, error.kind, str(error), error.run)
         except asyncio.CancelledError:
-            if answer.state is AnswerState.WAITING:
+            if not spec.may_have_run:
                 self._forget(spec)
             answer.end(AnswerState.BROKEN)
             raise
@@ -406,8 +388,8 @@
                 RunState.UNKNOWN,
             )
         try:
-            deadline = self._loop.time() + _timeout_seconds(request)
-        except _BadRequest as error:
+            deadline = self._loop.time() + timeout_seconds(request)
+        except BadRequestError as error:
             return problem(400, "bad-request", str(error))
         return await self._join(request, answer, deadline)
 
@@ -451,112 +433,10 @@
             return None
         if answer.state is AnswerState.COMPLETE:
             return RunState.RAN
-        is_waiting = self._slots.holder.is_waiting(request_id)
         answer.task.cancel()
-        return RunState.NOT_RUN if is_waiting else RunState.UNKNOWN
-
-
-class _CallerSink(AnswerSink):
-    """Passes an answer on to the caller as it arrives."""
-
-    def __init__(
-        self, request: web.Request, request_id: RequestId, is_leaving: bool
-    ):
-        self._request = request
-        self._request_id = request_id
-        self._is_leaving = is_leaving
-        self.response: web.StreamResponse | None = None
-
-    async def whole(
-        self, status: int, headers: list[tuple[str, str]], body: bytes
-    ) -> None:
-        # The handler returns it, and aiohttp sends head and body at once.
-        self._set_response(web.Response(status=status, body=body), headers)
-
-    def _set_response(
-        self, response: web.StreamResponse, headers: list[tuple[str, str]]
-    ) -> None:
-        self.response = response
-        for name, value in headers:
-            if name != "Content-Length" or not isinstance(
-                response, web.Response
-            ):
-                response.headers.add(name, value)
-        response.headers["Galenarill-Request-Id"] = self._request_id
-        if self._is_leaving:
-            response.force_close()
-
-    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
-        self._set_response(web.StreamResponse(status=status), headers)
-        with _caller_gone():
-            await self.response.prepare(self._request)
-
-    async def write(self, chunk: bytes) -> None:
-        with _caller_gone():
-            await self.response.write(chunk)
-
-    async def finish(self) -> None:
-        with _caller_gone():
-            await self.response.write_eof()
-
-    async def abort(self) -> None:
-        # The connection breaks, so that the caller cannot take the part that
-        # has arrived for the whole.
-        if self._request.transport is not None:
-            self._request.transport.abort()
-
-
-class _KeepingSink(AnswerSink):
-    """Keeps an answer, and passes it on while the caller is there."""
-
-    def __init__(self, answer: Answer, live: _CallerSink | None):
-        self._answer = answer
-        self._live = live
-
-    def detach(self) -> None:
-        """Go on without the caller."""
-        self._live = None
-
-    async def whole(
-        self, status: int, headers: list[tuple[str, str]], body: bytes
-    ) -> None:
-        self._answer.begin(status, headers)
-        self._answer.write(body)
-        self._answer.end(AnswerState.COMPLETE)
-        await self._pass_on("whole", status, headers, body)
-
-    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
-        self._answer.state = AnswerState.RUNNING
-        self._answer.begin(status, headers)
-        await self._pass_on("begin", status, headers)
-
-    async def write(self, chunk: bytes) -> None:
-        self._answer.write(chunk)
-        await self._pass_on("write", chunk)
-
-    async def finish(self) -> None:
-        self._answer.end(AnswerState.COMPLETE)
-        await self._pass_on("finish")
-
-    async def abort(self) -> None:
-        self._answer.end(AnswerState.BROKEN)
-        await self._pass_on("abort")
-
-    async def _pass_on(self, method: str, *args) -> None:
-        if self._live is None:
-            return
-        try:
-            await getattr(self._live, method)(*args)
-        except CallerGoneError:
-            self.detach()
-
-
-@contextlib.contextmanager
-def _caller_gone():
-    try:
-        yield
-    except ConnectionError as error:
-        raise CallerGoneError from error
+        if answer.spec.may_have_run:
+            return RunState.UNKNOWN
+        return RunState.NOT_RUN
 
 
 def _kept_response(answer: Answer) -> web.Response:
@@ -586,73 +466,3 @@
         RunState.UNKNOWN,
         request_id=request_id,
     )
-
-
-def _timeout_seconds(request: web.Request) -> float:
-    text = request.headers.get("Galenarill-Timeout-Seconds")
-    if text is None:
-        return DEFAULT_TIMEOUT_SECONDS
-    with contextlib.suppress(ValueError):
-        if 0 < float(text) <= MAX_TIMEOUT_SECONDS:
-            return float(text)
-    raise _BadRequest(
-        "Galenarill-Timeout-Seconds must be above 0 and at most "
-        f"{MAX_TIMEOUT_SECONDS:.0f}, not {text!r}"
-    )
-
-
-def _is_idempotent(request: web.Request) -> bool:
-    text = request.headers.get("Galenarill-Idempotent")
-    if text is None:
-        return request.method in IDEMPOTENT_METHODS
-    if text.lower() not in ("true", "false"):
-        raise _BadRequest(
-            f"Galenarill-Idempotent must be true or false, not {text!r}"
-        )
-    return text.lower() == "true"
-
-
-def _server_path(request: web.Request) -> str:
-    tail = request.rel_url.raw_path.split("/", 4)
-    path = f"/{tail[4]}" if len(tail) > 4 else "/"
-    query = request.rel_url.raw_query_string
-    return f"{path}?{query}" if query else path
-
-
-def _server_headers(request: web.Request) -> list[tuple[str, str]]:
-    named = request.headers.get("Connection", "").lower().split(",")
-    dropped = HOP_BY_HOP_HEADERS | OWN_HEADERS | {n.strip() for n in named}
-    return [
-        (name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in dropped
-    ]
-
-
-async def _read_body(request: web.Request, deadline: float) -> RequestBody:
-    """Read a small body whole, and the start of a larger one."""
-    if not request.body_exists:
-        return RequestBody(b"", None)
-    if (request.content_length or 0) > MAX_BODY_BYTES:
-        raise _BadRequest(
-            f"the body has {request.content_length} bytes, more than "
-            f"{MAX_BODY_BYTES}"
-        )
-    if request.content.is_eof() and (
-        request.content.total_bytes <= MAX_KEPT_BODY_BYTES
-    ):
-        # All of it is here, so that nothing has to be waited for.
-        return RequestBody(request.content.read_nowait(), None)
-    loop = asyncio.get_running_loop()
-    limit = min(deadline, loop.time() + BODY_SECONDS)
-    kept = bytearray()
-    try:
-        async with asyncio.timeout_at(limit):
-            while len(kept) <= MAX_KEPT_BODY_BYTES:
-                chunk = await request.content.readany()
-                if not chunk:
-                    return RequestBody(bytes(kept), None)
-                kept += chunk
-    except TimeoutError:
-        raise _BadRequest("the body came too slowly") from None
-    return RequestBody(bytes(kept), request.content)
--- a/galenarill/entry/execution.py
+++ b/galenarill/entry/execution.py
@@ -116,6 +116,7 @@
         deadline: Time by which the answer must have begun.
         is_idempotent: Whether it may run more than once.
         claim_token: Token of the claim on the request id, or "".
+        may_have_run: Whether a byte of it may have reached a backend server.
     """
 
     request: RequestId
@@ -129,6 +130,7 @@
     deadline: float
     is_idempotent: bool
     claim_token: str = ""
+    may_have_run: bool = False
 
 
 class AnswerSink(abc.ABC):
@@ -194,7 +196,6 @@
         budget.earn()
         service = self._service_times.setdefault(spec.queue, ServiceTime())
         failed_on: set[VmId] = set()
-        may_have_run = False
         while True:
             now = self._loop.time()
             start_deadline = service.start_deadline(spec.deadline, now)
@@ -207,7 +208,7 @@
                     frozenset(failed_on),
                 )
             except RequestRefusedError as error:
-                if may_have_run:
+                if spec.may_have_run:
                     raise _unknown(str(error)) from error
                 raise
             is_last = len(failed_on) + 1 >= MAX_SERVERS_PER_REQUEST
@@ -218,16 +219,13 @@
                 service.count(self._loop.time() - began_at)
                 return
             failed_on.add(start.permit.server)
-            if result is _AttemptResult.FAILED:
-                may_have_run = True
-            self._check_retry(spec, result, is_last, may_have_run, budget)
+            self._check_retry(spec, result, is_last, budget)
 
     def _check_retry(
         self,
         spec: RequestSpec,
         result: _AttemptResult,
         is_last: bool,
-        may_have_run: bool,
         budget: RetryBudget,
     ) -> None:
         """Raise unless the request may go to another backend server."""
@@ -240,7 +238,7 @@
                 raise _unknown("the retry budget is spent")
         if is_last:
             detail = f"failed on {MAX_SERVERS_PER_REQUEST} backend servers"
-            if may_have_run:
+            if spec.may_have_run:
                 raise _unknown(detail)
             raise RequestRefusedError("servers-unreachable", detail)
 
@@ -264,6 +262,8 @@
 
         status = 0
         has_begun = False
+        may_have_run_before = spec.may_have_run
+        spec.may_have_run = True
         try:
             async with asyncio.timeout_at(spec.deadline) as timer:
                 response = await session.request(
@@ -303,6 +303,7 @@
             await sink.finish()
             return _AttemptResult.ANSWERED
         except aiohttp.ClientConnectorError:
+            spec.may_have_run = may_have_run_before
             release(failed=True)
             return _AttemptResult.NOT_SENT
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- /dev/null
+++ b/galenarill/entry/parsing.py
@@ -0,0 +1,117 @@
+"""Reading callers' requests."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+
+from galenarill.entry.execution import HOP_BY_HOP_HEADERS, RequestBody
+from galenarill.errors import GalenarillError
+
+__all__ = [
+    "BadRequestError",
+    "timeout_seconds",
+    "is_idempotent",
+    "server_path",
+    "server_headers",
+    "read_body",
+]
+
+MAX_KEPT_BODY_BYTES = 64 * 1024
+MAX_BODY_BYTES = 256 * 1024 * 1024
+BODY_SECONDS = 20.0
+DEFAULT_TIMEOUT_SECONDS = 30.0
+MAX_TIMEOUT_SECONDS = 600.0
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+# Headers that are meant for an entry VM.
+OWN_HEADERS = frozenset(
+    {
+        "authorization",
+        "host",
+        "prefer",
+        "expect",
+        "galenarill-timeout-seconds",
+        "galenarill-idempotent",
+        "galenarill-request-id",
+        "galenarill-attempt-id",
+        "galenarill-team",
+    }
+)
+
+
+class BadRequestError(GalenarillError):
+    """A header or body that a caller must mend."""
+
+
+def timeout_seconds(request: web.Request) -> float:
+    """Return the time until the answer must have begun."""
+    text = request.headers.get("Galenarill-Timeout-Seconds")
+    if text is None:
+        return DEFAULT_TIMEOUT_SECONDS
+    with contextlib.suppress(ValueError):
+        if 0 < float(text) <= MAX_TIMEOUT_SECONDS:
+            return float(text)
+    raise BadRequestError(
+        "Galenarill-Timeout-Seconds must be above 0 and at most "
+        f"{MAX_TIMEOUT_SECONDS:.0f}, not {text!r}"
+    )
+
+
+def is_idempotent(request: web.Request) -> bool:
+    """Tell whether the request may run more than once."""
+    text = request.headers.get("Galenarill-Idempotent")
+    if text is None:
+        return request.method in IDEMPOTENT_METHODS
+    if text.lower() not in ("true", "false"):
+        raise BadRequestError(
+            f"Galenarill-Idempotent must be true or false, not {text!r}"
+        )
+    return text.lower() == "true"
+
+
+def server_path(request: web.Request) -> str:
+    """Return path and query for the backend server."""
+    tail = request.rel_url.raw_path.split("/", 4)
+    path = f"/{tail[4]}" if len(tail) > 4 else "/"
+    query = request.rel_url.raw_query_string
+    return f"{path}?{query}" if query else path
+
+
+def server_headers(request: web.Request) -> list[tuple[str, str]]:
+    """Return the headers for the backend server."""
+    named = request.headers.get("Connection", "").lower().split(",")
+    dropped = HOP_BY_HOP_HEADERS | OWN_HEADERS | {n.strip() for n in named}
+    return [
+        (name, value)
+        for name, value in request.headers.items()
+        if name.lower() not in dropped
+    ]
+
+
+async def read_body(request: web.Request, deadline: float) -> RequestBody:
+    """Read a small body whole, and the start of a larger one."""
+    if not request.body_exists:
+        return RequestBody(b"", None)
+    if (request.content_length or 0) > MAX_BODY_BYTES:
+        raise BadRequestError(
+            f"the body has {request.content_length} bytes, more than "
+            f"{MAX_BODY_BYTES}"
+        )
+    if request.content.is_eof() and (
+        request.content.total_bytes <= MAX_KEPT_BODY_BYTES
+    ):
+        # All of it is here, so that nothing has to be waited for.
+        return RequestBody(request.content.read_nowait(), None)
+    loop = asyncio.get_running_loop()
+    limit = min(deadline, loop.time() + BODY_SECONDS)
+    kept = bytearray()
+    try:
+        async with asyncio.timeout_at(limit):
+            while len(kept) <= MAX_KEPT_BODY_BYTES:
+                chunk = await request.content.readany()
+                if not chunk:
+                    return RequestBody(bytes(kept), None)
+                kept += chunk
+    except TimeoutError:
+        raise BadRequestError("the body came too slowly") from None
+    return RequestBody(bytes(kept), request.content)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -23,6 +23,7 @@
         _same_id_everywhere,
         _issued_ids,
         _cancelled_wave,
+        _cancelled_while_running,
         _retries,
         _open_queue,
         _limit_in_old_units,
@@ -179,6 +180,35 @@
     assert not any(executions(fleet, i) for i in not_run)
 
 
+async def _cancelled_while_running(fleet):
+    """A resend after a cancellation does not run a second time."""
+    first, second = list(fleet.entry_vms)[:2]
+    request_id = await _issue_id(fleet, first)
+
+    def submit(vm):
+        return fleet.submit(
+            vm,
+            "render",
+            "municipal",
+            tail="x?sleep=1",
+            headers={"Galenarill-Request-Id": request_id},
+        )
+
+    running = asyncio.create_task(submit(first))
+    await asyncio.sleep(0.4)
+    key = {"Authorization": f"Bearer {fleet.keys['municipal']}"}
+    address = fleet.entry_vms[first].callers
+    url = f"http://{address}/v1/requests/{request_id}"
+    async with fleet.session.delete(url, headers=key) as response:
+        assert (await response.json())["run"] == "unknown"
+    status, _, data = await running
+    assert (status, json.loads(data)["run"]) == (409, "unknown")
+    for vm in (first, second):
+        status, _, data = await submit(vm)
+        assert json.loads(data)["run"] == "unknown", data
+    assert len(executions(fleet, request_id)) == 1
+
+
 async def _retries(fleet):
     """An idempotent request goes elsewhere; another one does not."""
     vm = next(iter(fleet.entry_vms))
