--- a/galenarill/entry/answers.py
+++ b/galenarill/entry/answers.py
@@ -10,8 +10,8 @@
 
 __all__ = ["Answer", "AnswerState", "AnswerStore", "MAX_ANSWER_BYTES"]
 
-MAX_ANSWER_BYTES = 1024 * 1024
-MAX_KEPT_BYTES = 8 * 1024 * 1024
+MAX_ANSWER_BYTES = 256 * 1024
+MAX_KEPT_BYTES = 2 * 1024 * 1024
 MAX_KEPT_ANSWERS = 2_000
 
 
--- a/galenarill/entry/control.py
+++ b/galenarill/entry/control.py
@@ -11,12 +11,17 @@
     EntryKind,
     HardState,
     Journal,
+    Ready,
     Replica,
     Role,
     open_journal,
 )
 from galenarill.consensus.messages import Snapshot
-from galenarill.errors import NotLeaderError, ProtocolError
+from galenarill.errors import (
+    JournalError,
+    NotLeaderError,
+    ProtocolError,
+)
 from galenarill.settings import ProcessSettings
 from galenarill.state import (
     Change,
@@ -69,6 +74,7 @@
         self._waiters: dict[ChangeId, list[asyncio.Future]] = {}
         # Set, and replaced by a new one, whenever the state has changed.
         self._applied = asyncio.Event()
+        self._failure: JournalError | None = None
 
     @property
     def state(self) -> FleetState:
@@ -91,7 +97,14 @@
         return self._replica.is_current()
 
     def tick(self) -> None:
-        """Let time pass."""
+        """Let time pass.
+
+        Raises:
+            JournalError: If the journal has failed. The process must end then,
+                because what has reached the disk is unknown.
+        """
+        if self._failure is not None:
+            raise self._failure
         self._replica.tick(self._loop.time())
         self.pump()
 
@@ -217,13 +230,17 @@
     def pump(self) -> None:
         """Store, send and apply what the replica has ready."""
         self._is_pump_scheduled = False
+        if self._failure is not None:
+            return
         replica = self._replica
         ready = replica.take_ready()
-        if self._journal is not None and ready.needs_sync:
-            if ready.snapshot is not None:
-                self._install(ready.snapshot)
-            else:
-                self._journal.append(ready.hard_state, ready.entries)
+        try:
+            self._store(ready)
+        except JournalError as error:
+            # Nothing of this turn is sent or applied; the next tick raises.
+            logger.critical("journal failed", extra={"why": str(error)})
+            self._failure = error
+            return
         replica.synced(replica.log.last_index, self._loop.time())
         for peer, message in ready.messages:
             self._send(peer, message)
@@ -243,6 +260,14 @@
             # What was just synced may now be committed.
             self._schedule_pump()
 
+    def _store(self, ready: Ready) -> None:
+        if self._journal is None or not ready.needs_sync:
+            return
+        if ready.snapshot is not None:
+            self._install(ready.snapshot)
+        else:
+            self._journal.append(ready.hard_state, ready.entries)
+
     def _apply(self, entry) -> None:
         if entry.kind is not EntryKind.COMMAND:
             self._state.skip(entry.index)
--- a/galenarill/entry/watch.py
+++ b/galenarill/entry/watch.py
@@ -28,8 +28,6 @@
 
 __all__ = ["ZoneWatch"]
 
-# Silence after which a backend server's VM counts as lost.
-LOSS_SECONDS = 8.0
 WATCH_SECONDS = 0.5
 
 logger = logging.getLogger(__name__)
@@ -97,20 +95,16 @@
         for name, vm in self._control.state.vms.items():
             if vm.availability_zone != self._az:
                 continue
+            version = self._control.state.version
             server = scheduler.servers.get(name)
-            is_silent = (
-                server is not None
-                and server.lease_deadline + LOSS_SECONDS <= now
-            )
-            if vm.state is VmState.SERVING and is_silent:
+            is_silent = scheduler.is_silent(name, now)
+            if vm.state is VmState.SERVING and server and is_silent:
                 command = ReportLoss(name, server.incarnation)
-                version = self._control.state.version
                 self._propose(command, f"loss:{name}:{version}")
             elif vm.state is VmState.LOST and server and not is_silent:
-                version = self._control.state.version
                 self._propose(ReportReturn(name), f"return:{name}:{version}")
-            elif vm.state is VmState.DRAINING and scheduler.is_ready(now):
-                if scheduler.used_by_server(name) == 0:
+            elif vm.state is VmState.DRAINING:
+                if scheduler.is_drained(name, now):
                     command = AdvanceDrain(name, vm.grant)
                     self._propose(command, f"drained:{vm.grant}")
 
--- a/galenarill/scheduling/scheduler.py
+++ b/galenarill/scheduling/scheduler.py
@@ -30,8 +30,10 @@
     VmId,
 )
 
-__all__ = ["ZoneScheduler", "Decision", "DecisionKind"]
+__all__ = ["ZoneScheduler", "Decision", "DecisionKind", "LOSS_SECONDS"]
 
+# Silence of a backend server after which it counts as lost.
+LOSS_SECONDS = 8.0
 # Time for which a returned permit is remembered, so that a report made before
 # its return does not count its attempts as running.
 CLOSED_SECONDS = 10.0
@@ -174,10 +176,31 @@
         """Return how many slots count for `team`."""
         return self._running[team]
 
-    def used_by_server(self, server: VmId) -> int:
-        """Return the slots of `server` that are or may be in use."""
-        known = self._servers.get(server)
-        return known.used if known else 0
+    def is_silent(self, vm: VmId, now: float) -> bool:
+        """Tell whether the backend server on `vm` is lost.
+
+        One that was never heard of is lost once it has had the time to
+        announce itself to this scheduler.
+        """
+        server = self._servers.get(vm)
+        if server is None:
+            return self.is_ready(now) and now >= self._ready_at + LOSS_SECONDS
+        return now >= server.lease_deadline + LOSS_SECONDS
+
+    def is_drained(self, vm: VmId, now: float) -> bool:
+        """Tell whether nothing that anybody waits for runs on `vm`.
+
+        Orphans on a server that is lost do not count: a reboot ends them, and
+        nobody waits for their answers.
+        """
+        server = self._servers.get(vm)
+        if server is None:
+            return self.is_silent(vm, now)
+        if server.permits:
+            return False
+        if self.is_silent(vm, now):
+            return True
+        return server.is_known and not server.orphans
 
     def register(
         self, holder: VmId, message: messages.Register, now: float
--- a/galenarill/scheduling/tests/test_scheduler.py
+++ b/galenarill/scheduling/tests/test_scheduler.py
@@ -248,3 +248,54 @@
     zone.exchange()
     assert zone.scheduler.running("red") == 0
     assert not zone.scheduler.servers
+
+
+def test_drain_waits_for_what_runs():
+    zone = Zone(Policy(), servers=1)
+    zone.submit("red", 2)
+    zone.report("s0", 4)
+    assert not zone.scheduler.is_drained("s0", zone.now)
+    zone.finish(2)
+    zone.wait(1.2)
+    zone.report("s0", 4)
+    zone.wait(0.1)
+    assert zone.scheduler.is_drained("s0", zone.now)
+
+
+def test_drain_waits_for_the_first_report_after_a_takeover():
+    """A new scheduler does not know yet what runs on a server."""
+    zone = Zone(Policy(), servers=0)
+    assert not zone.scheduler.is_drained("s0", zone.now)
+    attempt = "ep0.7.1~red"
+    seen = ""
+    for sequence in range(9, 15):
+        running = (attempt,) if sequence < 11 else ()
+        report = m.ServerReport(
+            "s0",
+            ZONE,
+            "render",
+            "127.0.0.1:1",
+            "boot",
+            sequence,
+            4,
+            60,
+            running,
+            seen=seen,
+        )
+        seen = zone.scheduler.report(report, zone.now).stamp
+        if running:
+            assert not zone.scheduler.is_drained("s0", zone.now)
+        zone.now += 1.0
+    assert zone.scheduler.is_drained("s0", zone.now)
+
+
+def test_drain_of_a_lost_server_goes_on():
+    zone = Zone(Policy(), servers=1)
+    zone.submit("red", 1)
+    zone.finish(1, failed=True, running="ep1.1.1~red")
+    for _ in range(10):
+        zone.wait(1.0)
+    assert not zone.scheduler.is_drained("s0", zone.now)
+    for _ in range(3):
+        zone.wait(1.0)
+    assert zone.scheduler.is_drained("s0", zone.now)
