--- a/galenarill/entry/node.py
+++ b/galenarill/entry/node.py
@@ -337,6 +337,10 @@
             "withdrawn_digest": self._keys.digest,
             "log_role": self._control.replica.role.value,
             "log_leader": self._control.replica.leader,
+            "log_voters": sorted(self._control.replica.configuration.voters),
+            "log_learners": sorted(
+                self._control.replica.configuration.learners
+            ),
             "links": self._mesh.connected,
             "entry_vms": [
                 {
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import shutil
 import signal
 
 import aiohttp
@@ -20,6 +21,7 @@
     await _invalid(fleet)
     await _roles(fleet)
     await _restarts(fleet)
+    await _lost_disk_then_second_loss(fleet)
 
 
 async def _edit(fleet, vm, path, value, headers=None):
@@ -128,3 +130,37 @@
     assert shown["settings"]["queues"]["batch"]["max_waiting"] == value
     _, history = await fleet.admin("GET", "history")
     assert json.dumps(history).count("EditSettings") >= accepted
+
+
+async def _lost_disk_then_second_loss(fleet):
+    """A voter comes back without its disk; then another one is lost."""
+    voters = sorted(vm for vm, v in fleet.entry_vms.items() if v.is_voter)
+    blank, lost = voters[1], voters[2]
+    _, before = await fleet.admin("GET", "settings")
+    await fleet.stop_entry_vm(blank, signal.SIGKILL)
+    shutil.rmtree(fleet.folder / f"{blank}.data")
+    await fleet.start_entry_vm(blank)
+
+    async def votes_again():
+        statuses = await fleet.statuses()
+        status = statuses.get(blank)
+        return (
+            status is not None
+            and status["log_voters"] == voters
+            and not status["log_learners"]
+            and status["version"] >= before["version"]
+            and status["is_fresh"]
+        )
+
+    await eventually(votes_again, 20, "the voter without a disk is repaired")
+    await fleet.stop_entry_vm(lost, signal.SIGKILL)
+
+    async def takes_changes():
+        status, _ = await _edit(
+            fleet, blank, ["queues", "batch", "max_waiting"], 77
+        )
+        return status == 200
+
+    await eventually(takes_changes, 20, "two voters take changes")
+    _, shown = await fleet.admin("GET", "settings", blank)
+    assert shown["settings"]["queues"]["orders"]["max_waiting"] == 600
