Divide slots that become free together by share

A small example showed why: choosing the next team ignored permits given at the same instant, so all free slots of a pool went to one team; and the credit of a returning team was scaled by the weight of the teams that run something, which is tiny after a quiet time. Change: the choice adds the mean time that permits are out, as a lead for each permit out and the next one (finish tags after Demers, Keshav and Shenker); the credit is scaled by all that wait or run; the floor is the smallest virtual time.

--- a/galenarill/scheduling/shares.py
+++ b/galenarill/scheduling/shares.py
@@ -1,7 +1,7 @@
 """Weighted fair sharing of slot time between teams."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from galenarill.world import TeamId
 
@@ -9,6 +9,10 @@
 
 # Longest time for which a team that could not use its share is owed it.
 CREDIT_SECONDS = 1.0
+# Time for which a permit is expected to be out before any has come back, and
+# the gain with which the mean follows.
+INITIAL_HOLD_SECONDS = 0.25
+HOLD_GAIN = 1 / 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,13 +35,19 @@
 class ShareAccount:
     """Slot time that the teams of one pool have used.
 
-    Start-time fair queueing: the next slot goes to the team with the smallest
-    virtual time, which is slot seconds divided by weight. The time of permits
-    still out counts as it passes. A team that was away resumes at the virtual
-    time of the others, less a bounded credit.
+    Weighted fair queueing: a team's virtual time is its slot seconds divided by
+    its weight, and the next slot goes to the team whose virtual time would be
+    smallest at the end of it. Permits still out count for the time that has
+    passed and for the mean time that they are out, so that slots that become
+    free together are divided by share. A team that was away resumes at the
+    virtual time of the others, less a bounded credit.
 
     Choosing costs one comparison for each candidate team.
 
+    References:
+        Demers, Keshav, Shenker. Analysis and Simulation of a Fair Queueing
+        Algorithm. SIGCOMM 1989.
+
     Example:
         >>> account = ShareAccount()
         >>> account.set_weight("a", 2.0)
@@ -55,7 +65,9 @@
     def __init__(self):
         """Make an account without teams."""
         self._usage: dict[TeamId, TeamUsage] = {}
+        # Virtual time of the active team that is furthest behind.
         self._floor = 0.0
+        self._hold_seconds = INITIAL_HOLD_SECONDS
 
     def set_weight(self, team: TeamId, weight: float) -> None:
         """Set the share of `team`; virtual time used so far stays."""
@@ -66,7 +78,7 @@
             usage.weight = weight
 
     def next_team(
-        self, teams: Iterable[TeamId], now: float, slots: int
+        self, teams: Collection[TeamId], now: float, slots: int
     ) -> TeamId:
         """Return the team that the next slot belongs to.
 
@@ -78,20 +90,17 @@
         Returns:
             The team furthest behind its share.
         """
-        credit = CREDIT_SECONDS * slots / self._active_weight()
-        best = None
-        best_virtual = 0.0
-        for team in teams:
-            virtual = max(
-                self._virtual_at(team, now),
-                self._floor - credit,
-            )
-            if best is None or (virtual, team) < (best_virtual, best):
-                best, best_virtual = team, virtual
+        credit = CREDIT_SECONDS * slots / self._active_weight(teams)
+        virtuals = {
+            team: max(self._virtual_at(team, now), self._floor - credit)
+            for team in teams
+        }
+        self._floor = max(self._floor, min(virtuals.values()))
+        best = min(
+            teams, key=lambda team: (virtuals[team] + self._lead(team), team)
+        )
         usage = self._usage[best]
-        lag = best_virtual - self._virtual_at(best, now)
-        usage.virtual += lag
-        self._floor = max(self._floor, best_virtual)
+        usage.virtual += virtuals[best] - self._virtual_at(best, now)
         return best
 
     def start(self, team: TeamId, now: float) -> None:
@@ -106,14 +115,22 @@
         usage.running -= 1
         usage.since_sum -= since
         usage.virtual += (now - since) / usage.weight
+        self._hold_seconds += HOLD_GAIN * (now - since - self._hold_seconds)
 
     def _virtual_at(self, team: TeamId, now: float) -> float:
         usage = self._usage[team]
         accrued = usage.running * now - usage.since_sum
         return usage.virtual + accrued / usage.weight
 
-    def _active_weight(self) -> float:
-        active = sum(
-            usage.weight for usage in self._usage.values() if usage.running
+    def _lead(self, team: TeamId) -> float:
+        """Return the virtual time that one more permit is expected to add."""
+        usage = self._usage[team]
+        return (usage.running + 1) * self._hold_seconds / usage.weight
+
+    def _active_weight(self, teams: Collection[TeamId]) -> float:
+        """Return the shares of the teams that wait or run something."""
+        return sum(
+            usage.weight
+            for team, usage in self._usage.items()
+            if usage.running or team in teams
         )
-        return active or 1.0
