--- /dev/null
+++ b/benchmarks/fleets.py
@@ -0,0 +1,74 @@
+"""Fleets of the size that the users have today."""
+
+import contextlib
+import json
+import pathlib
+import tempfile
+from collections.abc import AsyncIterator
+
+from benchmarks.added_cost import spawn
+from standins.fleet import LocalFleet
+
+__all__ = ["BASE", "SITE", "start_servers", "todays_fleet", "read_counters"]
+
+BASE = pathlib.Path("examples/base.toml")
+SITE = pathlib.Path("examples/printworks/site.toml")
+SLOTS = 8
+
+
+@contextlib.asynccontextmanager
+async def todays_fleet(with_servers: bool = True) -> AsyncIterator[tuple]:
+    """Run eight entry VMs, three, three and two in the zones.
+
+    Args:
+        with_servers: Whether to run backend servers, in processes of their own.
+
+    Yields:
+        The fleet, and the processes of the backend servers.
+    """
+    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
+        fleet = LocalFleet(
+            pathlib.Path(folder),
+            BASE,
+            SITE,
+            entry_vms_per_zone=3,
+            with_servers=False,
+        )
+        del fleet.entry_vms["entry-az-c-3"]
+        servers = await start_servers(fleet) if with_servers else []
+        try:
+            async with fleet:
+                yield fleet, servers
+        finally:
+            for process in servers:
+                process.kill()
+                await process.wait()
+
+
+async def start_servers(fleet):
+    """Start the fleet's backend servers in one process for each zone."""
+    processes = []
+    addresses = [vm.callers for vm in fleet.entry_vms.values()]
+    for zone in fleet.zones:
+        vms = [
+            {"id": name, "pool": vm.pool}
+            for name, vm in fleet.settings.settings.vms.items()
+            if vm.availability_zone == zone
+        ]
+        config = {"entry_vms": addresses, "slots": SLOTS, "vms": vms}
+        process = await spawn("standins.echo", json.dumps(config))
+        processes.append(process)
+    return processes
+
+
+async def read_counters(fleet) -> dict[str, float]:
+    """Return the bytes that each entry VM has sent over its links."""
+    counters = {}
+    for vm in fleet.entry_vms.values():
+        url = f"http://{vm.callers}/metrics"
+        async with fleet.session.get(url) as response:
+            text = await response.text()
+        for line in text.splitlines():
+            if line.startswith("galenarill_link_sent_bytes"):
+                counters[vm.id] = float(line.split()[-1])
+    return counters
--- a/benchmarks/log.py
+++ b/benchmarks/log.py
@@ -7,18 +7,15 @@
 import time
 
 from benchmarks.figures import median, quantile, show
+from benchmarks.fleets import todays_fleet
 from galenarill.consensus import Entry, EntryKind, open_journal
 from galenarill.state import (
     Change,
     Edit,
     EditSettings,
-    FleetState,
     encode_change,
 )
-from standins.fleet import LocalFleet
 
-BASE = pathlib.Path("examples/base.toml")
-SITE = pathlib.Path("examples/printworks/site.toml")
 CHANGES = 60
 BATCH = 100
 
@@ -66,23 +63,12 @@
     show("log_commits_sync_each", single, "1/s")
     show("log_commits_sync_each_100", grouped, "1/s")
     show("log_size_1000_changes", size, "B")
-    state = FleetState()
-    show("log_empty_snapshot", len(state.encode()), "B")
 
 
 async def _measure_fleet() -> None:
     """Measure from a change's acceptance to its effect everywhere."""
-    with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
-        fleet = LocalFleet(
-            pathlib.Path(folder),
-            BASE,
-            SITE,
-            entry_vms_per_zone=3,
-            with_servers=False,
-        )
-        del fleet.entry_vms["entry-az-c-3"]
-        async with fleet:
-            await _measure_changes(fleet)
+    async with todays_fleet(with_servers=False) as (fleet, _):
+        await _measure_changes(fleet)
 
 
 async def _measure_changes(fleet) -> None:
--- a/benchmarks/outage.py
+++ b/benchmarks/outage.py
@@ -10,13 +10,11 @@
 
 import aiohttp
 
-from benchmarks.burst import start_servers
 from benchmarks.figures import show
+from benchmarks.fleets import BASE, SITE, start_servers
 from standins.fleet import LocalFleet
 from standins.proxy import Fault
 
-BASE = pathlib.Path("examples/base.toml")
-SITE = pathlib.Path("examples/printworks/site.toml")
 RATE = 80.0
 WORK_SECONDS = 0.2
 CUT_SECONDS = 60.0
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -12,8 +12,8 @@
 import time
 import tracemalloc
 
-from benchmarks.burst import read_counters, start_servers
 from benchmarks.figures import process_usage, show
+from benchmarks.fleets import BASE, SITE, read_counters, start_servers
 from galenarill.claims import Claim, ClaimRecord, ClaimTable, TableReply
 from galenarill.links import encode_batch
 from galenarill.membership import Heartbeat, HeartbeatReply
@@ -33,8 +33,6 @@
 )
 from standins.fleet import LocalFleet
 
-BASE = pathlib.Path("examples/base.toml")
-SITE = pathlib.Path("examples/printworks/site.toml")
 SETTLE_SECONDS = 5.0
 MEASURE_SECONDS = 10.0
 
