--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -146,7 +146,7 @@
     show(f"{name}_answered", len(answered), "1")
     show(f"{name}_refused_not_run", len(refused), "1")
     show(
-        "burst_neither",
+        f"{name}_neither",
         len(sent) - len(answered) - len(refused),
         "1",
     )
