--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -56,6 +56,57 @@
         runner.run(serve_entry_vm(loaded, buffer))
 
 
+@app.command
+def gateway(
+    settings: Annotated[
+        pathlib.Path, cyclopts.Parameter(env_var="GALENARILL_NODE_FILE")
+    ],
+) -> None:
+    """Run a gateway, which takes callers' jobs, until it gets SIGTERM.
+
+    Example: galenarill gateway /etc/galenarill/node.toml
+
+    Args:
+        settings: TOML file with the settings of this process.
+    """
+    from galenarill.platform.process import run_gateway
+
+    _run_node(settings, run_gateway)
+
+
+@app.command
+def coordinator(
+    settings: Annotated[
+        pathlib.Path, cyclopts.Parameter(env_var="GALENARILL_NODE_FILE")
+    ],
+) -> None:
+    """Run a coordinator, a voter of the log, until it gets SIGTERM.
+
+    Example: galenarill coordinator /etc/galenarill/node.toml
+
+    Args:
+        settings: TOML file with the settings of this process.
+    """
+    from galenarill.platform.process import run_coordinator
+
+    _run_node(settings, run_coordinator)
+
+
+def _run_node(file: pathlib.Path, run) -> None:
+    import uvloop
+
+    from galenarill.entry.logs import start_logging
+    from galenarill.settings import load_node_settings
+
+    loaded = load_node_settings(file)
+    buffer = start_logging(loaded.vm, "-")
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(run(loaded))
+    finally:
+        buffer.flush()
+
+
 def main() -> None:
     """Run the command line, and turn errors into text and an exit code."""
     try:
--- a/galenarill/consensus/__init__.py
+++ b/galenarill/consensus/__init__.py
@@ -1,5 +1,6 @@
 """The replicated log: elections, replication and files."""
 
+from galenarill.consensus.driver import *  # noqa: F403
 from galenarill.consensus.journal import *  # noqa: F403
 from galenarill.consensus.log import *  # noqa: F403
 from galenarill.consensus.messages import *  # noqa: F403
--- a/galenarill/consensus/replica.py
+++ b/galenarill/consensus/replica.py
@@ -38,6 +38,8 @@
 MAX_APPEND_ENTRIES = 64
 # A learner votes once it is at most this many entries behind.
 PROMOTION_LAG_ENTRIES = 8
+# Silence after which a voter gives its place to a learner that has caught up.
+REPLACE_SECONDS = 4.0
 IDENTIFY_SECONDS = 0.5
 
 
@@ -123,6 +125,7 @@
         hard_state: HardState | None = None,
         snapshot: Snapshot | None = None,
         entries: list[Entry] | None = None,
+        target_voters: int = 0,
     ):
         """Make a replica.
 
@@ -136,8 +139,11 @@
             hard_state: What the disk holds.
             snapshot: What the disk holds, or None if it is blank.
             entries: What the disk holds.
+            target_voters: Voters wanted where replicas with a disk join
+                later, or 0 where the voters never change.
         """
         self._vm = vm
+        self._target_voters = target_voters
         self._peers = peers
         self._initial_voters = initial_voters
         self._disk = disk
@@ -234,12 +240,29 @@
         """
         return 0 <= self._confirmed_commit <= self._applied
 
+    def is_settled(self, now: float) -> bool:
+        """Tell whether this replica leads and has applied all before its term.
+
+        What it has applied is then as new as any answer ever given.
+        """
+        return self._log.term_at(
+            self._applied
+        ) == self.term and self.is_confirmed(now)
+
     def is_leader_alive(self, now: float) -> bool:
         """Tell whether a leader was heard from within the election timeout."""
         if self._role is Role.LEADER:
             return self.is_confirmed(now)
         return now < self._leader_heard_at + 2 * ELECTION_SECONDS
 
+    def add_peer(self, peer: VmId) -> None:
+        """Take in a replica that was not known at the start."""
+        if peer in self._peers or peer == self._vm:
+            return
+        self._peers |= {peer}
+        if self._role is Role.LEADER:
+            self._progress[peer] = _Progress(self._log.last_index + 1)
+
     def tick(self, now: float) -> None:
         """Let time pass."""
         if self._role is Role.LEADER:
@@ -372,7 +395,7 @@
 
     def _broadcast_identity(self) -> None:
         identity = messages.Identify(self._disk, self._is_blank)
-        for peer in sorted(self._initial_voters - {self._vm}):
+        for peer in sorted((self._initial_voters | self._peers) - {self._vm}):
             self._send(peer, identity)
 
     def _receive_identify(
@@ -381,6 +404,8 @@
         progress = self._progress.get(sender)
         if progress is not None:
             progress.disk = message.disk
+            if message.is_blank:
+                progress.match_index = 0
         if not self._is_blank or sender not in self._initial_voters:
             return
         if not message.is_blank:
@@ -725,21 +750,45 @@
                 del voters[vm]
                 learners[vm] = progress.disk
                 break
-            if vm not in learners:
+            if vm in voters:
                 continue
-            lag = self._log.last_index - progress.match_index
-            if learners[vm] != progress.disk:
-                learners[vm] = progress.disk
-                break
-            if progress.match_index and lag <= PROMOTION_LAG_ENTRIES:
-                voters[vm] = learners.pop(vm)
-                break
+            if learners.get(vm) != progress.disk:
+                if vm in learners or self._target_voters:
+                    learners[vm] = progress.disk
+                    break
+                continue
+            if not self._has_caught_up(progress):
+                continue
+            if self._target_voters and len(voters) >= self._target_voters:
+                if silent := self._silent_voter(now):
+                    del voters[silent]
+                    break
+                continue
+            voters[vm] = learners.pop(vm)
+            break
         changed = Configuration(voters, learners)
         if changed != configuration:
             self._append_own(
                 EntryKind.CONFIGURATION, encode_configuration(changed)
             )
 
+    def _has_caught_up(self, progress: _Progress) -> bool:
+        lag = self._log.last_index - progress.match_index
+        return bool(progress.match_index) and lag <= PROMOTION_LAG_ENTRIES
+
+    def _silent_voter(self, now: float) -> VmId | None:
+        """Return a voter that has long been silent, or None."""
+        limit = now - REPLACE_SECONDS
+        if self._term_started_at > limit:
+            return None
+        for vm in sorted(self.configuration.voters):
+            progress = self._progress.get(vm)
+            if vm == self._vm:
+                continue
+            if progress is None or progress.confirmed_at < limit:
+                return vm
+        return None
+
 
 def encode_configuration(configuration: Configuration) -> bytes:
     """Encode `configuration` for an entry of the log."""
--- /dev/null
+++ b/galenarill/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""The coordinator: a voter of the log, and the scheduler while it leads."""
--- /dev/null
+++ b/galenarill/coordinator/answers.py
@@ -0,0 +1,241 @@
+"""The leader's answers to gateways, workers and operators."""
+
+import logging
+import time
+from collections.abc import Callable
+
+from galenarill.cluster import messages as msg
+from galenarill.cluster.messages import Code, Reply
+from galenarill.errors import NotLeaderError
+from galenarill.jobs import (
+    AcceptJob,
+    CancelJob,
+    ClusterState,
+    Configure,
+    DrainWorker,
+    Job,
+    JobStatus,
+    StartWave,
+)
+from galenarill.routing import Refusal
+
+__all__ = ["Answers"]
+
+logger = logging.getLogger(__name__)
+
+_REFUSALS = {
+    Refusal.NO_CONFIGURATION: Code.NO_CONFIGURATION,
+    Refusal.UNKNOWN_QUEUE: Code.UNKNOWN_QUEUE,
+    Refusal.UNKNOWN_KEY: Code.UNKNOWN_KEY,
+}
+
+
+class Answers:
+    """Answers requests from the replicated state, while it is surely newest.
+
+    Whatever an answer acknowledges is committed first.
+    """
+
+    def __init__(
+        self,
+        state: ClusterState,
+        propose: Callable,
+        is_settled: Callable[[], bool],
+    ):
+        """Answer from `state`.
+
+        Args:
+            state: Replicated state.
+            propose: Proposes commands, and returns a future of their commit.
+            is_settled: Tells whether `state` is surely the newest.
+        """
+        self._state = state
+        self._propose = propose
+        self._is_settled = is_settled
+
+    async def answer(self, call: int, request) -> Reply:
+        """Answer one request."""
+        if not self._is_settled():
+            return Reply(call, Code.NOT_LEADING)
+        try:
+            match request:
+                case msg.SubmitJob():
+                    return await self._submit(call, request)
+                case msg.AskJob():
+                    return self._job(call, request)
+                case msg.WithdrawJob():
+                    return await self._withdraw(call, request)
+                case msg.AskQueue():
+                    return self._queue(call, request)
+                case msg.ChangeConfiguration():
+                    return await self._configure(call, request)
+                case msg.ReadConfiguration():
+                    return self._configuration(call)
+                case msg.ReportWorker():
+                    return await self._drain(call, request)
+                case msg.BeginWave():
+                    return await self._begin_wave(call, request)
+                case msg.AskWave():
+                    return self._wave(call, request)
+        except NotLeaderError:
+            return Reply(call, Code.NOT_LEADING)
+        return Reply(call, Code.INVALID)
+
+    async def _submit(self, call: int, request: msg.SubmitJob) -> Reply:
+        found = self._state.routing.find(
+            request.host, request.path, request.key
+        )
+        if isinstance(found, Refusal):
+            return self._refused(call, request.job, found)
+        queue, tenant = found
+        if request.job not in self._state.jobs:
+            await self._propose(
+                AcceptJob(
+                    request.job, queue.name, tenant, request.spec, time.time()
+                )
+            )
+            logger.info(
+                "job accepted",
+                extra={
+                    "job": request.job,
+                    "queue": queue.name,
+                    "tenant": tenant,
+                    "steps": len(request.spec.steps),
+                    "configuration": self._version,
+                },
+            )
+        return Reply(call, Code.DONE)
+
+    def _job(self, call: int, request: msg.AskJob) -> Reply:
+        job = self._find(request)
+        if isinstance(job, Refusal):
+            return self._refused(call, request.job, job)
+        if job is None:
+            logger.info("job unknown", extra={"job": request.job})
+            return Reply(call, Code.UNKNOWN)
+        return Reply(call, Code.DONE, _status(job))
+
+    async def _withdraw(self, call: int, request: msg.WithdrawJob) -> Reply:
+        job = self._find(request)
+        if isinstance(job, Refusal):
+            return self._refused(call, request.job, job)
+        if job is None:
+            return Reply(call, Code.UNKNOWN)
+        if job.status is JobStatus.ACTIVE:
+            await self._propose(CancelJob(request.job, time.time()))
+            logger.info("job cancelled", extra={"job": request.job})
+        return Reply(call, Code.DONE)
+
+    def _queue(self, call: int, request: msg.AskQueue) -> Reply:
+        found = self._state.routing.find(
+            request.host, request.path, request.key
+        )
+        if isinstance(found, Refusal):
+            return self._refused(call, "", found)
+        name = found[0].name
+        waiting = sum(
+            job.queue == name
+            and job.status is JobStatus.ACTIVE
+            and not job.has_started
+            for job in self._state.jobs.values()
+        )
+        return Reply(call, Code.DONE, number=waiting)
+
+    async def _configure(
+        self, call: int, request: msg.ChangeConfiguration
+    ) -> Reply:
+        configuration = request.configuration
+        if configuration.version > self._version:
+            await self._propose(Configure(configuration))
+            logger.info(
+                "configuration in force",
+                extra={
+                    "version": configuration.version,
+                    "queues": len(configuration.queues),
+                    "tenants": len(configuration.tenants),
+                },
+            )
+        return Reply(call, Code.DONE, number=self._version)
+
+    def _configuration(self, call: int) -> Reply:
+        document = self._state.routing.configuration.document
+        if not document:
+            return Reply(call, Code.NO_CONFIGURATION)
+        return Reply(call, Code.DONE, document=document)
+
+    async def _drain(self, call: int, request: msg.ReportWorker) -> Reply:
+        report = request.report
+        if self._state.draining.get(report.worker) != report.born:
+            await self._propose(DrainWorker(report.worker, report.born))
+            logger.info(
+                "worker drains",
+                extra={"worker": report.worker, "born": report.born},
+            )
+        return Reply(call, Code.DONE)
+
+    async def _begin_wave(self, call: int, request: msg.BeginWave) -> Reply:
+        if request.wave not in self._state.waves:
+            await self._propose(
+                StartWave(
+                    request.wave,
+                    request.machines,
+                    request.at_once,
+                    time.time() + request.duration_s,
+                )
+            )
+            logger.info(
+                "wave begun",
+                extra={
+                    "wave": request.wave,
+                    "machines": len(request.machines),
+                    "at_once": request.at_once,
+                    "seconds": request.duration_s,
+                },
+            )
+        return Reply(call, Code.DONE)
+
+    def _wave(self, call: int, request: msg.AskWave) -> Reply:
+        wave = self._state.waves.get(request.wave)
+        if wave is None:
+            return Reply(call, Code.UNKNOWN)
+        text = "completed" if wave.is_completed else "running"
+        return Reply(call, Code.DONE, text)
+
+    def _find(self, request) -> Job | Refusal | None:
+        found = self._state.routing.find(
+            request.host, request.path, request.key
+        )
+        if isinstance(found, Refusal):
+            return found
+        queue, tenant = found
+        job = self._state.jobs.get(request.job)
+        # Another tenant's job does not exist for the caller.
+        if job is None or (job.tenant and tenant and job.tenant != tenant):
+            return None
+        return job
+
+    def _refused(self, call: int, job: str, refusal: Refusal) -> Reply:
+        logger.info(
+            "request refused",
+            extra={
+                "job": job,
+                "why": refusal.value,
+                "configuration": self._version,
+            },
+        )
+        return Reply(call, _REFUSALS[refusal])
+
+    @property
+    def _version(self) -> int:
+        return self._state.routing.configuration.version
+
+
+def _status(job: Job) -> str:
+    match job.status:
+        case JobStatus.COMPLETED:
+            return "completed"
+        case JobStatus.FAILED:
+            return "failed"
+        case JobStatus.CANCELLED:
+            return "canceled"
+    return "running" if job.has_started else "pending"
--- /dev/null
+++ b/galenarill/coordinator/node.py
@@ -0,0 +1,302 @@
+"""One coordinator: all its parts, and the messages between them."""
+
+import asyncio
+import logging
+import pathlib
+
+from galenarill.cluster import (
+    Call,
+    Code,
+    LeaderClient,
+    Presence,
+    Reply,
+    ReportWorker,
+    WorkerLeft,
+)
+from galenarill.consensus import (
+    Entry,
+    EntryKind,
+    LogDriver,
+    Replica,
+    Role,
+    StateMachine,
+    open_journal,
+    restore_replica,
+)
+from galenarill.coordinator.answers import Answers
+from galenarill.coordinator.leader import Leader
+from galenarill.coordinator.proposals import Proposals
+from galenarill.coordinator.service import CoordinatorService
+from galenarill.errors import ProtocolError
+from galenarill.jobs import ClusterState, decode_commands
+from galenarill.links import Mesh
+from galenarill.settings import NodeSettings
+from galenarill.workers import WorkerClient, WorkerRegistry, WorkerReport
+from galenarill.world import VmId, WorkerId, steady_now
+
+__all__ = ["Coordinator"]
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.05
+PRESENCE_SECONDS = 0.3
+# Silence after which a link counts as half-open, in seconds: five times the
+# period of `Presence`.
+LINK_SILENCE_SECONDS = 1.5
+
+
+class _Machine(StateMachine):
+    """Feeds committed entries to the replicated state."""
+
+    def __init__(self, state: ClusterState):
+        self.state = state
+        self.proposals: Proposals | None = None
+        self.touched: set = set()
+
+    @property
+    def version(self) -> int:
+        return self.state.version
+
+    def apply(self, entry: Entry) -> None:
+        commands = []
+        if entry.kind is EntryKind.COMMAND:
+            try:
+                commands = decode_commands(entry.data)
+            except ProtocolError as error:
+                logger.error("entry passed over", extra={"why": str(error)})
+        self.touched |= self.state.apply(entry.index, commands)
+        self.proposals.note_applied(entry.index, entry.term)
+
+    def encode(self) -> bytes:
+        return self.state.encode()
+
+    def restore(self, data: bytes, index: int) -> None:
+        self.state.restore(data, index)
+
+
+class Coordinator(CoordinatorService):
+    """One coordinator's process, but for the interfaces it is reached by."""
+
+    def __init__(self, settings: NodeSettings, client: WorkerClient):
+        """Open the journal and make all parts; see `run`.
+
+        Raises:
+            JournalError: If the disk cannot be used.
+        """
+        self._settings = settings
+        self._vm = settings.link_address
+        self._client = client
+        self._registry = WorkerRegistry()
+        self._leader: Leader | None = None
+        self._calls = LeaderClient(self._send)
+        self._coordinators: dict[VmId, Presence] = {}
+        self._state = ClusterState()
+        self._machine = _Machine(self._state)
+        self._replica, self._driver = self._open_log()
+        self._proposals = Proposals(self._driver, self._replica)
+        self._machine.proposals = self._proposals
+        self._answers = Answers(
+            self._state, self._proposals.propose, self._is_settled
+        )
+        self._mesh = Mesh(
+            self._vm,
+            self._vm,
+            {vm: vm for vm in settings.seed_links - {self._vm}},
+            settings.link_secret.encode(),
+            self._on_message,
+            self._on_link,
+            is_open=True,
+            silence_seconds=LINK_SILENCE_SECONDS,
+        )
+        self._tasks: set[asyncio.Task] = set()
+
+    def _open_log(self) -> tuple[Replica, LogDriver]:
+        settings = self._settings
+        journal, contents = open_journal(pathlib.Path(settings.data_folder))
+        replica = restore_replica(
+            self._vm,
+            settings.seed_links - {self._vm},
+            settings.seed_links if settings.forms_log else frozenset(),
+            contents,
+            steady_now(),
+            target_voters=2 * settings.replaceable_voters + 1,
+        )
+        if contents.snapshot is not None:
+            self._state.restore(contents.snapshot.data, contents.snapshot.index)
+        driver = LogDriver(
+            replica,
+            journal,
+            self._machine,
+            self._send,
+            self._after_turn,
+            steady_now,
+        )
+        return replica, driver
+
+    @property
+    def leader(self) -> Leader | None:
+        """The scheduler, while this coordinator leads."""
+        return self._leader
+
+    @property
+    def replica(self) -> Replica:
+        """The replica of the log."""
+        return self._replica
+
+    @property
+    def state(self) -> ClusterState:
+        """The replicated state as applied here."""
+        return self._state
+
+    async def run(self) -> None:
+        """Work until cancelled.
+
+        Raises:
+            JournalError: If the journal has failed.
+        """
+        await self._mesh.start()
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._tick_forever())
+                group.create_task(self._tell_presence())
+        finally:
+            if self._leader is not None:
+                self._leader.stop()
+            await self._mesh.stop()
+
+    async def ask(self, request, deadline: float) -> Reply:
+        """Answer a request here, or through the leader."""
+        if self._is_settled():
+            reply = await self._answers.answer(0, request)
+            if reply.code is not Code.NOT_LEADING:
+                return reply
+        return await self._calls.ask(request, deadline)
+
+    async def note_report(self, report: WorkerReport, deadline: float) -> None:
+        """Take in a worker's report, and tell the other coordinators."""
+        message = ReportWorker(report)
+        self._take_report(report)
+        for peer in self._coordinators:
+            self._mesh.send(peer, message)
+        if report.is_draining:
+            await self.ask(message, deadline)
+
+    def note_left(self, worker: WorkerId) -> None:
+        """Take in that a worker has left, and tell the others."""
+        self._take_left(worker)
+        for peer in self._coordinators:
+            self._mesh.send(peer, WorkerLeft(worker))
+
+    def _send(self, peer: VmId, message) -> bool:
+        return self._mesh.send(peer, message)
+
+    def _is_settled(self) -> bool:
+        return self._replica.is_settled(steady_now())
+
+    def _take_report(self, report: WorkerReport) -> None:
+        if self._registry.note(report, steady_now()) and self._leader:
+            self._leader.note_report(
+                self._registry.workers[report.worker].report
+            )
+
+    def _take_left(self, worker: WorkerId) -> None:
+        report = self._registry.note_left(worker)
+        if report is not None and self._leader is not None:
+            self._leader.note_left(report)
+
+    def _on_link(self, peer: VmId, is_up: bool) -> None:
+        self._calls.note_link(peer, is_up)
+        if not is_up:
+            self._coordinators.pop(peer, None)
+        if is_up:
+            self._mesh.send(peer, self._presence())
+        logger.info("link", extra={"peer": peer, "up": is_up})
+
+    def _on_message(self, peer: VmId, message) -> None:
+        match message:
+            case Presence():
+                self._note_presence(peer, message)
+            case Call():
+                self._spawn(self._answer(peer, message))
+            case Reply():
+                self._calls.note_reply(message)
+            case ReportWorker():
+                self._take_report(message.report)
+            case WorkerLeft():
+                self._take_left(message.worker)
+            case _:
+                self._replica.add_peer(peer)
+                self._driver.receive(peer, message)
+
+    def _note_presence(self, peer: VmId, presence: Presence) -> None:
+        if not presence.coordinators:
+            # A gateway, which only keeps its link alive.
+            return
+        if peer not in self._coordinators:
+            self._replica.add_peer(peer)
+            for known in self._registry.workers.values():
+                self._mesh.send(peer, ReportWorker(known.report))
+        self._coordinators[peer] = presence
+        self._calls.note_presence(peer, presence)
+        for vm in presence.coordinators:
+            self._mesh.add_peer(vm, vm)
+
+    async def _answer(self, peer: VmId, call: Call) -> None:
+        reply = await self._answers.answer(call.call, call.request)
+        self._mesh.send(peer, reply)
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _presence(self) -> Presence:
+        return Presence(
+            self._replica.term,
+            self._is_settled(),
+            tuple(sorted({self._vm, *self._coordinators})),
+        )
+
+    async def _tell_presence(self) -> None:
+        while True:
+            self._broadcast_presence()
+            await asyncio.sleep(PRESENCE_SECONDS)
+
+    def _broadcast_presence(self) -> None:
+        presence = self._presence()
+        for peer in self._mesh.connected:
+            self._mesh.send(peer, presence)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._driver.tick()
+            self._registry.forget_silent(steady_now())
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _after_turn(self, has_applied: bool) -> None:
+        touched, self._machine.touched = self._machine.touched, set()
+        if self._leader is not None:
+            self._leader.note_applied(touched)
+        self._proposals.note_turn()
+        self._check_lead()
+
+    def _check_lead(self) -> None:
+        term = self._replica.term
+        if self._leader is not None and (
+            self._leader.term != term or self._replica.role is not Role.LEADER
+        ):
+            self._leader.stop()
+            self._leader = None
+            self._broadcast_presence()
+        if self._leader is None and self._is_settled():
+            self._leader = Leader(
+                term,
+                self._state,
+                self._registry,
+                self._client,
+                self._proposals.propose,
+                lambda: self._replica.is_confirmed(steady_now()),
+                self._settings.keep_job_seconds,
+            )
+            self._leader.start()
+            self._broadcast_presence()
--- /dev/null
+++ b/galenarill/coordinator/proposals.py
@@ -0,0 +1,69 @@
+"""Commands on their way through the log."""
+
+import asyncio
+
+import msgspec
+
+from galenarill.consensus import LogDriver, Replica, Role
+from galenarill.errors import NotLeaderError
+from galenarill.jobs import encode_commands
+
+__all__ = ["Proposals"]
+
+
+class Proposals:
+    """Batches commands, and tells when they are applied."""
+
+    def __init__(self, driver: LogDriver, replica: Replica):
+        """Propose through `driver`."""
+        self._driver = driver
+        self._replica = replica
+        self._loop = asyncio.get_running_loop()
+        self._batch: list[msgspec.Struct] = []
+        self._batch_future: asyncio.Future | None = None
+        # By the index of the entry: its term, and who waits for it.
+        self._waiting: dict[int, tuple[int, asyncio.Future]] = {}
+
+    def propose(self, *commands: msgspec.Struct) -> asyncio.Future:
+        """Propose commands, together with others of this turn of the loop.
+
+        Returns:
+            A future that is done once they are applied here, or has a
+            `NotLeaderError`; they may then be applied later all the same.
+        """
+        if self._batch_future is None:
+            self._batch_future = self._loop.create_future()
+            # Who proposes need not look at the outcome.
+            self._batch_future.add_done_callback(lambda done: done.exception())
+            self._loop.call_soon(self._flush)
+        self._batch.extend(commands)
+        return self._batch_future
+
+    def note_applied(self, index: int, term: int) -> None:
+        """Take in that an entry is applied."""
+        waiting = self._waiting.pop(index, None)
+        if waiting is None:
+            return
+        proposed_term, future = waiting
+        if proposed_term == term:
+            future.set_result(None)
+        else:
+            future.set_exception(NotLeaderError("another leader's entry"))
+
+    def note_turn(self) -> None:
+        """Give up what waits if this replica no longer leads."""
+        if self._replica.role is Role.LEADER or not self._waiting:
+            return
+        waiting, self._waiting = self._waiting, {}
+        for _, future in waiting.values():
+            future.set_exception(NotLeaderError("lost the lead"))
+
+    def _flush(self) -> None:
+        batch, self._batch = self._batch, []
+        future, self._batch_future = self._batch_future, None
+        try:
+            index = self._driver.propose(encode_commands(batch))
+        except NotLeaderError as error:
+            future.set_exception(error)
+            return
+        self._waiting[index] = (self._replica.term, future)
--- a/galenarill/entry/control.py
+++ b/galenarill/entry/control.py
@@ -3,22 +3,21 @@
 import asyncio
 import logging
 import pathlib
-import random
 import time
 from collections.abc import Callable
 
 from galenarill.consensus import (
+    Entry,
     EntryKind,
-    HardState,
     Journal,
-    Ready,
+    LogDriver,
     Replica,
     Role,
+    StateMachine,
     open_journal,
+    restore_replica,
 )
-from galenarill.consensus.messages import Snapshot
 from galenarill.errors import (
-    JournalError,
     NotLeaderError,
     ProtocolError,
 )
@@ -35,20 +34,14 @@
 
 __all__ = ["ControlPath", "open_control_path"]
 
-# Applied entries after which the log is replaced by a snapshot.
-SNAPSHOT_ENTRIES = 1000
 PROPOSAL_SECONDS = 5.0
 RETRY_SECONDS = 0.2
 
 logger = logging.getLogger(__name__)
 
 
-class ControlPath:
-    """Drives the replica and applies what it commits.
-
-    Everything that is proposed before the next turn of the loop shares one
-    sync.
-    """
+class ControlPath(StateMachine):
+    """Applies what the log commits, and proposes changes to its leader."""
 
     def __init__(
         self,
@@ -62,19 +55,19 @@
         """Wrap an opened replica; see `open_control_path`."""
         self._vm = VmId(settings.vm)
         self._replica = replica
-        self._journal = journal
         self._state = state
         self._send = send
         self._on_applied = on_applied
         self._loop = asyncio.get_running_loop()
-        self._is_pump_scheduled = False
+        self._driver = LogDriver(
+            replica, journal, self, send, self._after_turn, self._loop.time
+        )
         self._next_call = 0
         self._calls: dict[int, asyncio.Future] = {}
         # Who waits for the outcome of a change, by change id.
         self._waiters: dict[ChangeId, list[asyncio.Future]] = {}
         # Set, and replaced by a new one, whenever the state has changed.
         self._applied = asyncio.Event()
-        self._failure: JournalError | None = None
 
     @property
     def state(self) -> FleetState:
@@ -103,15 +96,11 @@
             JournalError: If the journal has failed. The process must end then,
                 because what has reached the disk is unknown.
         """
-        if self._failure is not None:
-            raise self._failure
-        self._replica.tick(self._loop.time())
-        self.pump()
+        self._driver.tick()
 
     def receive(self, sender: VmId, message) -> None:
         """Take in a message of the log from a peer."""
-        self._replica.receive(sender, message, self._loop.time())
-        self._schedule_pump()
+        self._driver.receive(sender, message)
 
     def receive_proposal(self, sender: VmId, message: Propose) -> None:
         """Append a change for a peer, and answer when it is applied."""
@@ -214,61 +203,29 @@
             future.set_result(earlier)
             return future
         try:
-            self._replica.propose(encode_change(change))
+            self._driver.propose(encode_change(change))
         except NotLeaderError as error:
             future.set_exception(error)
             return future
         self._waiters.setdefault(change.change_id, []).append(future)
-        self._schedule_pump()
         return future
 
-    def _schedule_pump(self) -> None:
-        if not self._is_pump_scheduled:
-            self._is_pump_scheduled = True
-            self._loop.call_soon(self.pump)
+    @property
+    def version(self) -> int:
+        """Version of the state as applied here."""
+        return self._state.version
 
-    def pump(self) -> None:
-        """Store, send and apply what the replica has ready."""
-        self._is_pump_scheduled = False
-        if self._failure is not None:
-            return
-        replica = self._replica
-        ready = replica.take_ready()
-        try:
-            self._store(ready)
-        except JournalError as error:
-            # Nothing of this turn is sent or applied; the next tick raises.
-            logger.critical("journal failed", extra={"why": str(error)})
-            self._failure = error
-            return
-        replica.synced(replica.log.last_index, self._loop.time())
-        for peer, message in ready.messages:
-            self._send(peer, message)
-        if ready.restore is not None:
-            self._state = FleetState.decode(ready.restore.data)
-            self._state.skip(ready.restore.index)
-        for entry in ready.committed:
-            self._apply(entry)
-        if replica.role is not Role.LEADER and self._waiters:
-            self._fail_waiters()
-        if ready.restore is not None or ready.committed:
-            self._compact()
-            self._applied.set()
-            self._applied = asyncio.Event()
-            self._on_applied()
-        if ready.needs_sync and replica.role is Role.LEADER:
-            # What was just synced may now be committed.
-            self._schedule_pump()
+    def encode(self) -> bytes:
+        """Encode the state for a snapshot."""
+        return self._state.encode()
 
-    def _store(self, ready: Ready) -> None:
-        if self._journal is None or not ready.needs_sync:
-            return
-        if ready.snapshot is not None:
-            self._install(ready.snapshot)
-        else:
-            self._journal.append(ready.hard_state, ready.entries)
+    def restore(self, data: bytes, index: int) -> None:
+        """Replace the state by that of a snapshot."""
+        self._state = FleetState.decode(data)
+        self._state.skip(index)
 
-    def _apply(self, entry) -> None:
+    def apply(self, entry: Entry) -> None:
+        """Apply a committed entry, and tell who waits for it."""
         if entry.kind is not EntryKind.COMMAND:
             self._state.skip(entry.index)
             return
@@ -295,22 +252,13 @@
                 if not future.done():
                     future.set_exception(NotLeaderError("lost the lead"))
 
-    def _compact(self) -> None:
-        log = self._replica.log
-        if self._state.version - log.snapshot.index < SNAPSHOT_ENTRIES:
-            return
-        data = self._state.encode()
-        self._install(self._replica.compact(self._state.version, data))
-
-    def _install(self, snapshot: Snapshot) -> None:
-        if self._journal is None:
-            return
-        replica = self._replica
-        hard_state = replica.hard_state
-        entries = replica.log.entries(
-            snapshot.index + 1, replica.log.last_index - snapshot.index
-        )
-        self._journal.install(snapshot, hard_state, entries)
+    def _after_turn(self, has_applied: bool) -> None:
+        if self._replica.role is not Role.LEADER and self._waiters:
+            self._fail_waiters()
+        if has_applied:
+            self._applied.set()
+            self._applied = asyncio.Event()
+            self._on_applied()
 
 
 def open_control_path(
@@ -329,29 +277,16 @@
     Raises:
         JournalError: If the disk cannot be used.
     """
-    journal = None
-    disk = ""
-    hard_state, snapshot, entries = HardState(), None, []
+    journal, contents = None, None
     if settings.data_folder:
         journal, contents = open_journal(pathlib.Path(settings.data_folder))
-        disk = contents.disk
-        hard_state = contents.hard_state
-        snapshot, entries = contents.snapshot, contents.entries
-        if contents.torn_bytes:
-            logger.warning(
-                "unfinished write cut off the journal",
-                extra={"bytes": contents.torn_bytes},
-            )
-    replica = Replica(
+    replica = restore_replica(
         VmId(settings.vm),
         frozenset(settings.zones) - {settings.vm},
         settings.voters,
-        disk,
-        random.Random(),
+        contents,
         asyncio.get_running_loop().time(),
-        hard_state=hard_state,
-        snapshot=snapshot,
-        entries=entries,
     )
+    snapshot = contents and contents.snapshot
     state = FleetState.decode(snapshot.data if snapshot else b"")
     return ControlPath(settings, replica, journal, state, send, on_applied)
--- a/galenarill/entry/logs.py
+++ b/galenarill/entry/logs.py
@@ -26,14 +26,16 @@
 
     Args:
         vm: This entry VM, named in each line.
-        file: Path, or "".
+        file: Path, "" for standard error or "-" for standard output.
         level: Lowest level that is logged.
 
     Returns:
         The buffer, to be flushed by the loop.
     """
-    if file:
-        target: logging.Handler = logging.handlers.WatchedFileHandler(file)
+    if file == "-":
+        target: logging.Handler = logging.StreamHandler(sys.stdout)
+    elif file:
+        target = logging.handlers.WatchedFileHandler(file)
     else:
         target = logging.StreamHandler(sys.stderr)
     target.setFormatter(
--- a/galenarill/entry/tests/test_control.py
+++ b/galenarill/entry/tests/test_control.py
@@ -47,7 +47,7 @@
         def fail(*_):
             raise JournalError("no space left")
 
-        control._journal.append = fail
+        control._driver._journal.append = fail
         change = asyncio.create_task(
             control.propose(WithdrawKey("k1"), "ana", "change-1")
         )
--- /dev/null
+++ b/galenarill/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: takes callers' jobs and asks the leading coordinator."""
--- /dev/null
+++ b/galenarill/gateway/node.py
@@ -0,0 +1,78 @@
+"""One gateway: links to the coordinators, and nothing to keep."""
+
+import asyncio
+import logging
+
+from galenarill.cluster import LeaderClient, Presence, Reply
+from galenarill.gateway.service import GatewayService
+from galenarill.links import Mesh
+from galenarill.settings import NodeSettings
+from galenarill.world import VmId
+
+__all__ = ["Gateway"]
+
+logger = logging.getLogger(__name__)
+
+PRESENCE_SECONDS = 0.3
+# Silence after which a link counts as half-open, in seconds: five times the
+# period of `Presence`.
+LINK_SILENCE_SECONDS = 1.5
+
+
+class Gateway(GatewayService):
+    """One gateway's process, but for the interfaces it is reached by."""
+
+    def __init__(self, settings: NodeSettings):
+        """Make all parts; see `run`."""
+        self._is_leaving = False
+        self._calls = LeaderClient(self._send)
+        self._mesh = Mesh(
+            settings.link_address,
+            "",
+            {vm: vm for vm in settings.seed_links},
+            settings.link_secret.encode(),
+            self._on_message,
+            self._on_link,
+            is_open=True,
+            silence_seconds=LINK_SILENCE_SECONDS,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return not self._is_leaving and bool(self._mesh.connected)
+
+    def leave(self) -> None:
+        """Ask the balancer to send no more callers."""
+        self._is_leaving = True
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        await self._mesh.start()
+        try:
+            while True:
+                for peer in self._mesh.connected:
+                    self._mesh.send(peer, Presence(0, False, ()))
+                await asyncio.sleep(PRESENCE_SECONDS)
+        finally:
+            await self._mesh.stop()
+
+    async def ask(self, request, deadline: float) -> Reply:
+        """Answer a question of a caller through the leader."""
+        return await self._calls.ask(request, deadline)
+
+    def _send(self, peer: VmId, message) -> bool:
+        return self._mesh.send(peer, message)
+
+    def _on_link(self, peer: VmId, is_up: bool) -> None:
+        self._calls.note_link(peer, is_up)
+        logger.info("link", extra={"peer": peer, "up": is_up})
+
+    def _on_message(self, peer: VmId, message) -> None:
+        match message:
+            case Presence():
+                self._calls.note_presence(peer, message)
+                for vm in message.coordinators:
+                    self._mesh.add_peer(vm, vm)
+            case Reply():
+                self._calls.note_reply(message)
--- /dev/null
+++ b/galenarill/jobs/__init__.py
@@ -0,0 +1,5 @@
+"""Jobs, their tasks, and the replicated state that holds them."""
+
+from galenarill.jobs.commands import *  # noqa: F403
+from galenarill.jobs.model import *  # noqa: F403
+from galenarill.jobs.state import *  # noqa: F403
--- /dev/null
+++ b/galenarill/jobs/state.py
@@ -0,0 +1,262 @@
+"""The replicated state of the configuration, jobs, waves and machines."""
+
+import cbor2
+import msgspec
+
+from galenarill.jobs import commands as cmd
+from galenarill.jobs.model import (
+    GANG,
+    End,
+    Incarnation,
+    Job,
+    JobStatus,
+    Run,
+    Task,
+    TaskKey,
+    make_job,
+)
+from galenarill.routing import Configuration, RoutingTable
+from galenarill.world import JobId, MachineId, PoolId, WorkerId
+
+__all__ = ["ClusterState", "Wave"]
+
+
+class Wave(msgspec.Struct, array_like=True):
+    """A wave of upkeep.
+
+    Attributes:
+        machines: Machines.
+        at_once: Most machines down at a time.
+        deadline_at: Unix seconds.
+        ordered: When each machine's upkeep was ordered, Unix seconds.
+        finished: Machines that have had theirs, or are gone.
+    """
+
+    machines: tuple[MachineId, ...]
+    at_once: int
+    deadline_at: float
+    ordered: dict[MachineId, float] = {}
+    finished: set[MachineId] = set()
+
+    @property
+    def is_completed(self) -> bool:
+        """Whether every machine has had its upkeep."""
+        return self.finished.issuperset(self.machines)
+
+
+class _Image(msgspec.Struct, array_like=True):
+    """What a snapshot holds."""
+
+    version: int = 0
+    configuration: Configuration = Configuration(0)
+    jobs: list[Job] = []
+    draining: dict[WorkerId, int] = {}
+    waves: dict[int, Wave] = {}
+    placed: dict[MachineId, PoolId] = {}
+
+
+class ClusterState:
+    """State that every coordinator applies from the log.
+
+    Applying is deterministic: times come with the commands.
+    """
+
+    def __init__(self):
+        """Make an empty state."""
+        self._load(_Image())
+
+    @property
+    def version(self) -> int:
+        """Index of the last entry applied."""
+        return self._version
+
+    @property
+    def routing(self) -> RoutingTable:
+        """The configuration in force."""
+        return self._routing
+
+    def encode(self) -> bytes:
+        """Encode the state for a snapshot."""
+        image = _Image(
+            self._version,
+            self._routing.configuration,
+            list(self.jobs.values()),
+            self.draining,
+            self.waves,
+            self.placed,
+        )
+        return cbor2.dumps(
+            msgspec.to_builtins(image, builtin_types=(bytes,), str_keys=False)
+        )
+
+    def restore(self, data: bytes, index: int) -> None:
+        """Replace the state by that of a snapshot."""
+        image = _Image()
+        if data:
+            image = msgspec.convert(
+                _hashable_keys(cbor2.loads(data)),
+                _Image,
+                builtin_types=(bytes,),
+            )
+        self._load(image)
+        self._version = index
+
+    def apply(self, index: int, commands: list[msgspec.Struct]) -> set[JobId]:
+        """Apply the commands of one entry.
+
+        Args:
+            index: Index of the entry.
+            commands: Commands; none for an entry that holds no commands.
+
+        Returns:
+            Jobs that have changed.
+        """
+        self._version = index
+        touched: set[JobId] = set()
+        for command in commands:
+            match command:
+                case cmd.Configure():
+                    self._configure(command.configuration)
+                case cmd.AcceptJob():
+                    self._accept(command)
+                    touched.add(command.job)
+                case cmd.CancelJob():
+                    self._cancel(command)
+                    touched.add(command.job)
+                case cmd.StartRun():
+                    self._start(command)
+                    touched.add(command.job)
+                case cmd.EndRun():
+                    self._end(command)
+                    touched.add(command.job)
+                case cmd.ForgetJobs():
+                    for job in command.jobs:
+                        self.jobs.pop(job, None)
+                        touched.add(job)
+                case cmd.DrainWorker():
+                    self.draining[command.worker] = command.born
+                case cmd.StartWave():
+                    self.waves.setdefault(
+                        command.wave,
+                        Wave(
+                            command.machines,
+                            command.at_once,
+                            command.deadline_at,
+                            {},
+                            set(),
+                        ),
+                    )
+                case cmd.OrderUpkeep():
+                    wave = self.waves[command.wave]
+                    wave.ordered[command.machine] = command.at
+                case cmd.FinishUpkeep():
+                    self.waves[command.wave].finished.add(command.machine)
+                case cmd.PlaceMachine():
+                    self.placed[command.machine] = command.pool
+        return touched
+
+    def _load(self, image: _Image) -> None:
+        self._version = image.version
+        self._routing = RoutingTable(image.configuration)
+        self.jobs: dict[JobId, Job] = {job.id: job for job in image.jobs}
+        self.draining = image.draining
+        self.waves = image.waves
+        self.placed = image.placed
+
+    def _configure(self, configuration: Configuration) -> None:
+        if configuration.version > self._routing.configuration.version:
+            self._routing = RoutingTable(configuration)
+
+    def _accept(self, command: cmd.AcceptJob) -> None:
+        if command.job not in self.jobs:
+            self.jobs[command.job] = make_job(
+                command.job,
+                command.queue,
+                command.tenant,
+                command.spec,
+                command.at,
+            )
+
+    def _cancel(self, command: cmd.CancelJob) -> None:
+        job = self.jobs.get(command.job)
+        if job is not None and job.status is JobStatus.ACTIVE:
+            job.status = JobStatus.CANCELLED
+            job.ended_at = command.at
+
+    def _start(self, command: cmd.StartRun) -> None:
+        job = self.jobs.get(command.job)
+        if job is None or job.status is not JobStatus.ACTIVE:
+            return
+        key = TaskKey(command.occurrence, command.step, command.index)
+        task = job.tasks.setdefault(key, Task(runs=[]))
+        if command.run <= task.last_run or task.is_done:
+            return
+        task.last_run = command.run
+        members = {
+            member: Incarnation(worker, born)
+            for member, worker, born in command.members
+        }
+        task.runs.append(Run(command.run, members))
+        job.has_started = True
+
+    def _end(self, command: cmd.EndRun) -> None:
+        job = self.jobs.get(command.job)
+        key = TaskKey(command.occurrence, command.step, command.index)
+        task = job.tasks.get(key) if job is not None else None
+        run = task and next(
+            (run for run in task.runs if run.number == command.run), None
+        )
+        if run is None or command.member not in run.members:
+            return
+        del run.members[command.member]
+        if not run.members:
+            task.runs.remove(run)
+        if command.checkpoint:
+            task.checkpoint = command.checkpoint
+        how = End(command.how)
+        if how is End.DONE:
+            self._note_done(job, key, task, command.at)
+        elif how is End.FAILED and task.failed_run < command.run:
+            task.failed_run = command.run
+            task.failures += 1
+            self._note_failure(job, key, task, command.at)
+
+    def _note_done(self, job: Job, key: TaskKey, task: Task, at: float) -> None:
+        step = job.spec.steps[key.step]
+        if task.is_done or step.lasts:
+            return
+        task.is_done = True
+        place = (key.occurrence, key.step)
+        count = step.count if key.index == GANG else 1
+        job.done[place] = job.done.get(place, 0) + count
+        if job.status is JobStatus.ACTIVE and all(
+            job.is_occurrence_done(occurrence)
+            for occurrence in range(job.spec.occurrences)
+        ):
+            job.status = JobStatus.COMPLETED
+            job.ended_at = at
+
+    def _note_failure(
+        self, job: Job, key: TaskKey, task: Task, at: float
+    ) -> None:
+        queue = self._routing.queue(job.queue)
+        if job.spec.steps[key.step].lasts or queue is None or task.is_done:
+            return
+        if (
+            task.failures >= queue.max_attempts
+            and job.status is JobStatus.ACTIVE
+        ):
+            job.status = JobStatus.FAILED
+            job.ended_at = at
+
+
+def _hashable_keys(value):
+    """Return `value` with list keys of maps as tuples, as CBOR needs."""
+    if isinstance(value, dict):
+        return {
+            tuple(key) if isinstance(key, list) else key: _hashable_keys(item)
+            for key, item in value.items()
+        }
+    if isinstance(value, list):
+        return [_hashable_keys(item) for item in value]
+    return value
--- a/galenarill/links/codec.py
+++ b/galenarill/links/codec.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from galenarill.claims import messages as claims
+from galenarill.cluster import messages as cluster
 from galenarill.consensus import messages as consensus
 from galenarill.errors import ProtocolError
 from galenarill.membership import messages as membership
@@ -23,7 +24,7 @@
 
 _KINDS = [
     kind
-    for module in (claims, consensus, membership, scheduling, state)
+    for module in (claims, cluster, consensus, membership, scheduling, state)
     for kind in (getattr(module, name) for name in module.__all__)
     if isinstance(kind, type)
     and issubclass(kind, msgspec.Struct)
--- a/galenarill/links/handshake.py
+++ b/galenarill/links/handshake.py
@@ -58,7 +58,7 @@
 
 
 async def welcome(
-    socket, secret: bytes, vm: VmId, peers: frozenset[VmId]
+    socket, secret: bytes, vm: VmId, peers: frozenset[VmId] | None
 ) -> VmId:
     """Check the peer that has dialled, and prove who we are.
 
@@ -66,7 +66,7 @@
         socket: Open websocket.
         secret: Secret that the fleet's entry VMs share.
         vm: This VM.
-        peers: VMs that may dial.
+        peers: VMs that may dial, or None for any that has the secret.
 
     Returns:
         The peer.
@@ -75,7 +75,7 @@
         AuthenticationError: If the peer is unknown or lacks the secret.
     """
     hello = await _receive(socket, _Hello)
-    if hello.vm not in peers:
+    if peers is not None and hello.vm not in peers:
         raise AuthenticationError(f"{hello.vm!r} may not open a link")
     nonce = secrets.token_bytes(NONCE_BYTES)
     transcript = (hello.vm, vm, hello.nonce, nonce)
--- a/galenarill/links/mesh.py
+++ b/galenarill/links/mesh.py
@@ -28,6 +28,9 @@
 SILENCE_SECONDS = 3.0
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
+# Time without a link after which the VM with the larger id dials as well: the
+# other one may not know of it yet.
+LATE_DIAL_SECONDS = 1.0
 # Messages that may wait for one link; beyond this the link is reset, and the
 # protocols above start over as after any loss.
 MAX_QUEUED_MESSAGES = 20_000
@@ -54,11 +57,11 @@
 class _Link:
     """One open link and the messages that wait for it."""
 
-    def __init__(self, socket, now: float):
+    def __init__(self, socket, silence_deadline: float):
         self.socket = socket
         self.queue: collections.deque = collections.deque()
         self.has_messages = asyncio.Event()
-        self.silence_deadline = now + SILENCE_SECONDS
+        self.silence_deadline = silence_deadline
 
 
 class Mesh:
@@ -78,18 +81,26 @@
         on_message: Callable[[VmId, msgspec.Struct], None],
         on_change: Callable[[VmId, bool], None],
         certificates: Certificates | None = None,
+        *,
+        is_open: bool = False,
+        silence_seconds: float = SILENCE_SECONDS,
     ):
         """Make a mesh that is not yet started.
 
         Args:
             vm: This VM.
-            address: `host:port` to listen on.
+            address: `host:port` to listen on, or "" to only dial.
             peers: `host:port` of every other entry VM.
             secret: Secret that the entry VMs share.
             on_message: Called with the sender and each message.
             on_change: Called with a peer and whether its link is up.
             certificates: For TLS, or None.
+            is_open: Whether peers may join later, and VMs that are not among
+                the peers may dial.
+            silence_seconds: Silence after which a link counts as half-open.
         """
+        self._is_open = is_open
+        self._silence_seconds = silence_seconds
         self._certificates = certificates
         self._vm = vm
         self._address = address
@@ -114,23 +125,29 @@
 
     async def start(self) -> None:
         """Listen, and begin to dial."""
-        host, _, port = self._address.rpartition(":")
-        self._server = await server.serve(
-            self._accept,
-            host,
-            int(port),
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            ping_interval=None,
-            open_timeout=HANDSHAKE_SECONDS,
-            ssl=self._certificates and self._certificates.for_peers,
-        )
+        if self._address:
+            host, _, port = self._address.rpartition(":")
+            self._server = await server.serve(
+                self._accept,
+                host,
+                int(port),
+                compression=None,
+                max_size=MAX_FRAME_BYTES,
+                ping_interval=None,
+                open_timeout=HANDSHAKE_SECONDS,
+                ssl=self._certificates and self._certificates.for_peers,
+            )
         for peer in self._peers:
-            if self._vm < peer:
-                task = asyncio.create_task(self._dial_forever(peer))
-                self._tasks.append(task)
+            self._start_dialling(peer)
         self._tasks.append(asyncio.create_task(self._watch_silence()))
 
+    def add_peer(self, peer: VmId, address: str) -> None:
+        """Keep a link to a peer that was not known at the start."""
+        if peer == self._vm or peer in self._peers:
+            return
+        self._peers[peer] = address
+        self._start_dialling(peer)
+
     async def stop(self) -> None:
         """Send what waits, then close every link."""
         for task in self._tasks:
@@ -160,11 +177,19 @@
             self._drop(peer, link)
         return True
 
+    def _start_dialling(self, peer: VmId) -> None:
+        if self._vm < peer or self._is_open:
+            task = asyncio.create_task(self._dial_forever(peer))
+            self._tasks.append(task)
+
     async def _accept(self, socket) -> None:
         try:
             async with asyncio.timeout(HANDSHAKE_SECONDS):
                 peer = await handshake.welcome(
-                    socket, self._secret, self._vm, frozenset(self._peers)
+                    socket,
+                    self._secret,
+                    self._vm,
+                    None if self._is_open else frozenset(self._peers),
                 )
         except (
             AuthenticationError,
@@ -178,6 +203,10 @@
     async def _dial_forever(self, peer: VmId) -> None:
         backoff = MIN_BACKOFF_SECONDS
         while True:
+            if self._address and self._vm > peer:
+                await asyncio.sleep(LATE_DIAL_SECONDS)
+                if peer in self._links:
+                    continue
             try:
                 if await self._dial(peer):
                     backoff = MIN_BACKOFF_SECONDS
@@ -211,7 +240,8 @@
 
     async def _run(self, peer: VmId, socket) -> None:
         """Carry messages over an authenticated link until it breaks."""
-        link = _Link(socket, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        link = _Link(socket, now + self._silence_seconds)
         earlier = self._links.get(peer)
         if earlier is not None:
             self._drop(peer, earlier)
@@ -229,7 +259,7 @@
     async def _receive_forever(self, peer: VmId, link: _Link) -> None:
         loop = asyncio.get_running_loop()
         async for data in link.socket:
-            link.silence_deadline = loop.time() + SILENCE_SECONDS
+            link.silence_deadline = loop.time() + self._silence_seconds
             batch = decode_batch(data)
             self._counters.received_bytes += len(data)
             self._counters.received_messages += len(batch)
@@ -260,7 +290,7 @@
     async def _watch_silence(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(SILENCE_SECONDS / 4)
+            await asyncio.sleep(self._silence_seconds / 4)
             for peer, link in list(self._links.items()):
                 if loop.time() > link.silence_deadline:
                     logger.warning(
--- /dev/null
+++ b/galenarill/placement/__init__.py
@@ -0,0 +1,4 @@
+"""Which task starts next, and on which worker."""
+
+from galenarill.placement.order import *  # noqa: F403
+from galenarill.placement.plan import *  # noqa: F403
--- /dev/null
+++ b/galenarill/placement/order.py
@@ -0,0 +1,66 @@
+"""The order in which ready tasks are placed."""
+
+from collections.abc import Callable
+
+from galenarill.jobs import Job, Step, TaskKey
+from galenarill.routing import Queue
+
+__all__ = ["estimated_seconds", "chain_seconds", "objective_at", "rank"]
+
+# Duration assumed of a task that gives no estimate, in seconds: the middle
+# of the platform's kinds of jobs.
+DEFAULT_ESTIMATE_SECONDS = 1.0
+
+
+def estimated_seconds(step: Step) -> float:
+    """Return how long a task of `step` is expected to take, in seconds."""
+    return step.estimate_ms / 1000 or DEFAULT_ESTIMATE_SECONDS
+
+
+def chain_seconds(
+    steps: tuple[Step, ...],
+    is_done: Callable[[int], bool] = lambda index: False,
+) -> float:
+    """Return the longest chain of dependent steps, in seconds.
+
+    Args:
+        steps: Steps of a job.
+        is_done: Tells which steps take no more time.
+
+    Example:
+        >>> from galenarill.routing import Resources
+        >>> first = Step(1, Resources(1), estimate_ms=1000)
+        >>> second = Step(1, Resources(1), estimate_ms=500, depends_on=(0,))
+        >>> chain_seconds((first, second))
+        1.5
+    """
+    ends: list[float] = []
+    for index, step in enumerate(steps):
+        begin = max((ends[i] for i in step.depends_on if i < index), default=0)
+        ends.append(begin + (0 if is_done(index) else estimated_seconds(step)))
+    return max(ends, default=0.0)
+
+
+def objective_at(job: Job, occurrence: int, queue: Queue) -> float:
+    """Return when an occurrence should be done, in Unix seconds."""
+    begin = job.spec.due_at(occurrence) or job.accepted_at
+    chain = chain_seconds(job.spec.steps)
+    return begin + queue.stretch * chain + queue.objective_ms / 1000
+
+
+def rank(job: Job, key: TaskKey, queue: Queue, wall: float) -> tuple:
+    """Return a sort key: tasks that come first have the smaller one.
+
+    Tasks that last come first, then jobs that can still meet their objective,
+    the most urgent ones first, then the others by age.
+    """
+    step = job.spec.steps[key.step]
+    if step.lasts:
+        return (queue.priority, 0, job.accepted_at, key)
+    objective = objective_at(job, key.occurrence, queue)
+    left = chain_seconds(
+        job.spec.steps, lambda index: job.is_step_done(key.occurrence, index)
+    )
+    if wall + left <= objective:
+        return (queue.priority, 1, objective, key)
+    return (queue.priority, 2, job.accepted_at, key)
--- /dev/null
+++ b/galenarill/placement/plan.py
@@ -0,0 +1,211 @@
+"""Fits ready tasks onto workers."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from galenarill.jobs import GANG, Incarnation, Step, TaskKey
+from galenarill.routing import Resources
+from galenarill.workers import WorkerReport
+from galenarill.world import JobId, PoolId, TeamId, WorkerId
+
+__all__ = ["Candidate", "Room", "Budget", "Placement", "plan"]
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """A task, or a whole gang, that is ready to start.
+
+    Attributes:
+        job: Job.
+        key: Task.
+        step: Its step.
+        pool: Pool whose workers may run it.
+        tenant: Tenant, or "".
+        avoid: Workers on which it is not started if others have room.
+        beside: Tasks of the same step and occurrence on each worker.
+        tickets: Workers that may run it, or None for all.
+    """
+
+    job: JobId
+    key: TaskKey
+    step: Step
+    pool: PoolId
+    tenant: TeamId
+    avoid: frozenset[WorkerId] = frozenset()
+    beside: dict[WorkerId, int] = dataclasses.field(default_factory=dict)
+    tickets: dict[WorkerId, str] | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Room:
+    """A worker that takes starts.
+
+    Attributes:
+        report: Worker.
+        free: Capacity that is left.
+        is_last_choice: Whether others go before it.
+    """
+
+    report: WorkerReport
+    free: Resources
+    is_last_choice: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Budget:
+    """What a tenant may still start.
+
+    Attributes:
+        limit: Upper limit; 0 means none.
+        used: What it has running.
+    """
+
+    limit: Resources
+    used: Resources
+
+    def allows(self, need: Resources) -> bool:
+        """Tell whether `need` more stays within the limit."""
+        total = self.used.plus(need)
+        return all(
+            not limit or value <= limit
+            for limit, value in (
+                (self.limit.cpu, total.cpu),
+                (self.limit.mem_mb, total.mem_mb),
+                (self.limit.gpu, total.gpu),
+            )
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """A task and the workers of its members.
+
+    Attributes:
+        candidate: Task.
+        members: Member, and the life of a worker that runs it.
+    """
+
+    candidate: Candidate
+    members: tuple[tuple[int, Incarnation], ...]
+
+
+def plan(
+    candidates: Iterable[Candidate],
+    rooms: dict[PoolId, list[Room]],
+    budgets: dict[TeamId, Budget],
+) -> list[Placement]:
+    """Fit tasks onto workers, in the order given.
+
+    Rooms and budgets are reduced by what is placed. A task that does not fit
+    is passed over; tasks of the same shape behind it are not tried again.
+
+    Args:
+        candidates: Ready tasks, the most urgent first.
+        rooms: Workers by pool.
+        budgets: What each tenant may start; a tenant that is missing has no
+            limit.
+
+    Returns:
+        The placements.
+    """
+    placements = []
+    # Shapes that fit nowhere: nothing becomes free during one plan.
+    hopeless: set[tuple] = set()
+    for candidate in candidates:
+        step = candidate.step
+        shape = (candidate.pool, step.reserved, step.label, step.data_rack)
+        if shape in hopeless:
+            continue
+        count = step.count if candidate.key.index == GANG else 1
+        budget = budgets.get(candidate.tenant)
+        need = step.need.times(count)
+        if budget is not None and not budget.allows(need):
+            continue
+        workers = _fit(candidate, count, rooms.get(candidate.pool, []))
+        if workers is None:
+            if (
+                not candidate.step.max_per_worker
+                and count == 1
+                and (candidate.tickets is None)
+            ):
+                hopeless.add(shape)
+            continue
+        if budget is not None:
+            budget.used = budget.used.plus(need)
+        members = []
+        for member, room in enumerate(workers):
+            report = room.report
+            room.free = room.free.minus(step.reserved)
+            worker = report.worker
+            candidate.beside[worker] = candidate.beside.get(worker, 0) + 1
+            members.append((member, Incarnation(worker, report.born)))
+        placements.append(Placement(candidate, tuple(members)))
+    return placements
+
+
+def _fit(
+    candidate: Candidate, count: int, rooms: list[Room]
+) -> list[Room] | None:
+    """Return a worker for each member, or None if they do not all fit."""
+    step = candidate.step
+    suitable = [
+        room
+        for room in rooms
+        if (not step.label or step.label in room.report.labels)
+        and (
+            candidate.tickets is None or room.report.worker in candidate.tickets
+        )
+        and step.reserved.fits(room.free)
+    ]
+    if count == 1:
+        allowed = [r for r in suitable if _may_add(candidate, r, 0)]
+        best = min(allowed, key=lambda r: _cost(candidate, r), default=None)
+        return None if best is None else [best]
+    if step.wants_same_rack:
+        by_rack: dict[str, list[Room]] = {}
+        for room in suitable:
+            by_rack.setdefault(room.report.rack, []).append(room)
+        for rack in sorted(by_rack):
+            if chosen := _spread(candidate, count, by_rack[rack]):
+                return chosen
+    return _spread(candidate, count, suitable)
+
+
+def _spread(
+    candidate: Candidate, count: int, rooms: list[Room]
+) -> list[Room] | None:
+    chosen: list[Room] = []
+    reserved = candidate.step.reserved
+    for room in sorted(rooms, key=lambda r: _cost(candidate, r)):
+        free, added = room.free, 0
+        while (
+            len(chosen) < count
+            and reserved.fits(free)
+            and _may_add(candidate, room, added)
+        ):
+            chosen.append(room)
+            free, added = free.minus(reserved), added + 1
+    return chosen if len(chosen) == count else None
+
+
+def _may_add(candidate: Candidate, room: Room, added: int) -> bool:
+    most = candidate.step.max_per_worker
+    beside = candidate.beside.get(room.report.worker, 0) + added
+    return not most or beside < most
+
+
+def _cost(candidate: Candidate, room: Room) -> tuple:
+    """Return a sort key: the worker with the smallest one is taken.
+
+    Tasks go where their data is, and otherwise to the fullest worker, so that
+    whole machines stay empty and can be moved or switched off.
+    """
+    report = room.report
+    rack = candidate.step.data_rack
+    return (
+        room.is_last_choice,
+        report.worker in candidate.avoid,
+        bool(rack) and rack not in report.labels,
+        room.free.cpu,
+        report.worker,
+    )
--- /dev/null
+++ b/galenarill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, translated to ours."""
--- /dev/null
+++ b/galenarill/platform/http.py
@@ -0,0 +1,55 @@
+"""Small helpers of the platform's HTTP servers."""
+
+import logging
+
+import msgspec
+from aiohttp import web
+
+__all__ = ["listen", "json_response", "RETRY_AFTER"]
+
+# When callers should come back after a refusal, in seconds: an election takes
+# about as long.
+RETRY_AFTER = {"Retry-After": "1"}
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+logger = logging.getLogger(__name__)
+
+
+async def listen(handler, address: str) -> web.ServerRunner:
+    """Serve HTTP on `address` with a handler of every request.
+
+    Args:
+        handler: Coroutine function from a request to a response.
+        address: `host:port`.
+
+    Returns:
+        The runner, to be cleaned up at the end.
+    """
+
+    async def guarded(request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            return web.Response(status=error.status, text=error.text)
+        except Exception:
+            # An answer that is lost is safe; a refusal might not be true.
+            logger.exception("request failed", extra={"path": request.path})
+            return web.Response(status=500)
+
+    server = web.Server(guarded, access_log=None)
+    runner = web.ServerRunner(server, handle_signals=False)
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    site = web.TCPSite(runner, host, int(port), reuse_address=True, backlog=512)
+    await site.start()
+    return runner
+
+
+def json_response(value, status: int = 200, headers=None) -> web.Response:
+    """Return a response with `value` as JSON."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(value),
+        content_type="application/json",
+        headers=headers,
+    )
--- /dev/null
+++ b/galenarill/platform/wire.py
@@ -0,0 +1,362 @@
+"""The platform's message formats, decoded into the project's own types."""
+
+import msgspec
+
+from galenarill.errors import ProtocolError
+from galenarill.jobs import JobSpec, Step
+from galenarill.routing import (
+    AdvicePolicy,
+    Configuration,
+    ConfigurationFault,
+    Pool,
+    Queue,
+    RequestLimits,
+    Resources,
+    Tenant,
+    find_fault,
+)
+from galenarill.workers import (
+    EndedRow,
+    RunningRow,
+    WorkerLists,
+    WorkerReport,
+)
+from galenarill.world import PoolId, QueueId, TeamId, WorkerId
+
+__all__ = [
+    "decode_job",
+    "decode_configuration",
+    "decode_report",
+    "decode_lists",
+    "decode_clock",
+    "decode_wave",
+    "is_job_id",
+]
+
+# Longest payload of a job in bytes; source: the platform's protocol.
+MAX_PAYLOAD_BYTES = 4000
+JOB_ID_DIGITS = 16
+
+
+class _Resources(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Step(msgspec.Struct):
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    depends_on: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    # A label that the worker must have.
+    requires: str = ""
+    data_rack: str = ""
+    # Most tasks of the step on one worker.
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    # Bound on the tail of the task's response times.
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct):
+    # The job's opaque payload.
+    spec: str
+    steps: list[_Step]
+    repeat_count: int = 0
+    # Measured from 1970.
+    initial_delay_ms: float = 0
+    interval_ms: float = 0
+
+
+class _Advice(msgspec.Struct):
+    decide_ms: float = 0
+    each_ms: float = 0
+    valid_ms: float = 0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    # The pool whose workers run the queue's tasks.
+    service: str
+    timeout_ms: float
+    slo_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    public: bool = False
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    admission_check: bool = False
+    spare: bool = False
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 0
+    max_body_bytes: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    weight: float
+    api_keys: list[str] = []
+    upper_limit: _Resources = msgspec.field(default_factory=_Resources)
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+class _Report(msgspec.Struct):
+    # The pool that the worker belongs to.
+    service: str
+    address: str
+    zone: str
+    state: str
+    seq: int
+    capacity: _Resources
+    born: int = 0
+    machine: str = ""
+    # Kind of the worker and its rack.
+    labels: list[str] = []
+    remaining_ms: float = 0
+
+
+class _Lists(msgspec.Struct):
+    clock_ms: float
+    running: list[list] = []
+    ended: list[list] = []
+    born: int | None = None
+
+
+class _Clock(msgspec.Struct):
+    clock_ms: float | None = None
+    reason: str = ""
+
+
+class _Wave(msgspec.Struct):
+    wave: int
+    machines: list[str]
+    duration_s: float
+    # Most machines down at a time.
+    upper_limit: int
+
+
+def is_job_id(text: str) -> bool:
+    """Tell whether `text` has the form of a job's id.
+
+    Example:
+        >>> is_job_id("5c0e7a21d94b36f8")
+        True
+    """
+    return len(text) == JOB_ID_DIGITS and all(
+        digit in "0123456789abcdefABCDEF" for digit in text
+    )
+
+
+def decode_job(data: bytes) -> JobSpec:
+    """Decode a job that a caller submits.
+
+    Raises:
+        ProtocolError: If it is no valid job.
+    """
+    job = _decode(data, _Job)
+    if len(job.spec.encode()) > MAX_PAYLOAD_BYTES:
+        raise ProtocolError(f"spec is longer than {MAX_PAYLOAD_BYTES} bytes")
+    if not job.steps:
+        raise ProtocolError("a job needs a step")
+    for number, step in enumerate(job.steps):
+        if step.count < 1:
+            raise ProtocolError(f"step {number}: count must be 1 or more")
+        if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
+            raise ProtocolError(f"step {number}: a negative amount")
+        if any(not 0 <= other < number for other in step.depends_on):
+            raise ProtocolError(f"step {number}: depends on no earlier step")
+    if job.repeat_count < 0 or job.interval_ms < 0:
+        raise ProtocolError("a negative count or interval")
+    return JobSpec(
+        job.spec,
+        tuple(_step(step) for step in job.steps),
+        job.repeat_count,
+        job.initial_delay_ms / 1000,
+        job.interval_ms / 1000,
+    )
+
+
+def decode_configuration(data: bytes) -> Configuration | ConfigurationFault:
+    """Decode a configuration, or tell what makes it invalid."""
+    try:
+        raw = _decode(data, _Configuration)
+    except ProtocolError:
+        return ConfigurationFault.UNREADABLE
+    if raw.version < 1 or any(tenant.weight <= 0 for tenant in raw.tenants):
+        return ConfigurationFault.UNREADABLE
+    if any(route.timeout_ms <= 0 for route in raw.routes):
+        return ConfigurationFault.NO_TIMEOUT
+    configuration = Configuration(
+        raw.version,
+        tuple(_queue(route) for route in raw.routes),
+        tuple(
+            Pool(PoolId(s.name), s.admission_check, s.spare)
+            for s in raw.services
+        ),
+        tuple(
+            Tenant(
+                TeamId(tenant.name),
+                tuple(tenant.api_keys),
+                tenant.weight,
+                _resources(tenant.upper_limit),
+            )
+            for tenant in raw.tenants
+        ),
+        RequestLimits(raw.limits.max_header_bytes, raw.limits.max_body_bytes),
+        data,
+    )
+    return find_fault(configuration) or configuration
+
+
+def decode_report(worker: str, data: bytes) -> WorkerReport:
+    """Decode what a worker reports of itself.
+
+    Raises:
+        ProtocolError: If it cannot be read, or names an unknown state.
+    """
+    raw = _decode(data, _Report)
+    if raw.state not in ("ready", "draining"):
+        raise ProtocolError(f"unknown state {raw.state!r}")
+    host, _, port = raw.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ProtocolError(f"address must be host:port, not {raw.address!r}")
+    return WorkerReport(
+        WorkerId(worker),
+        raw.born,
+        raw.seq,
+        PoolId(raw.service),
+        raw.machine,
+        raw.address,
+        raw.zone,
+        # The kind comes first, then the rack.
+        raw.labels[1] if len(raw.labels) > 1 else "",
+        tuple(raw.labels),
+        _resources(raw.capacity),
+        raw.state == "draining",
+        raw.remaining_ms,
+    )
+
+
+def decode_lists(data: bytes) -> WorkerLists:
+    """Decode a worker's answer to a renewal of its lease.
+
+    Raises:
+        ProtocolError: If it cannot be read.
+    """
+    raw = _decode(data, _Lists)
+    try:
+        running = tuple(
+            RunningRow(
+                str(row[0]),
+                int(row[1]),
+                str(row[2]),
+                float(row[3]),
+                float(row[4]) if len(row) > 4 else 0.0,
+            )
+            for row in raw.running
+        )
+        ended = tuple(
+            EndedRow(
+                int(row[0]), str(row[1]), int(row[2]), str(row[3]), str(row[4])
+            )
+            for row in raw.ended
+        )
+    except (IndexError, TypeError, ValueError) as error:
+        raise ProtocolError(f"not a list of runs: {error}") from error
+    return WorkerLists(raw.clock_ms, raw.born, running, ended)
+
+
+def decode_clock(data: bytes) -> tuple[float | None, str]:
+    """Return the worker's clock in ms, if told, and the reason of a refusal."""
+    try:
+        raw = _decode(data, _Clock)
+    except ProtocolError:
+        return None, ""
+    return raw.clock_ms, raw.reason
+
+
+def decode_wave(data: bytes) -> tuple[int, tuple[str, ...], float, int]:
+    """Return number, machines, duration in seconds and most at once.
+
+    Raises:
+        ProtocolError: If it cannot be read.
+    """
+    raw = _decode(data, _Wave)
+    if raw.upper_limit < 1 or raw.duration_s < 0:
+        raise ProtocolError("upper_limit must be 1 or more")
+    return raw.wave, tuple(raw.machines), raw.duration_s, raw.upper_limit
+
+
+def _decode(data: bytes, kind):
+    try:
+        return msgspec.json.decode(data, type=kind, strict=True)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ProtocolError(str(error)) from error
+
+
+def _resources(raw) -> Resources:
+    return Resources(raw.cpu, raw.mem_mb, raw.gpu)
+
+
+def _step(raw: _Step) -> Step:
+    return Step(
+        raw.count,
+        _resources(raw),
+        raw.estimate_ms,
+        tuple(raw.depends_on),
+        raw.checkpointing,
+        raw.gang,
+        raw.same_rack,
+        raw.requires,
+        raw.data_rack,
+        raw.anti_affinity,
+        raw.speculative,
+        raw.long_running,
+        raw.image,
+        raw.target_ms,
+        raw.fills,
+        raw.may_miss,
+    )
+
+
+def _queue(raw: _Route) -> Queue:
+    advice = raw.advice and AdvicePolicy(
+        raw.advice.decide_ms, raw.advice.each_ms, raw.advice.valid_ms
+    )
+    return Queue(
+        QueueId(raw.name),
+        raw.host,
+        raw.path_prefix,
+        PoolId(raw.service),
+        raw.priority,
+        max(1, raw.max_attempts),
+        raw.stretch,
+        raw.slo_ms,
+        raw.public,
+        advice,
+    )
--- /dev/null
+++ b/galenarill/platform/worker_client.py
@@ -0,0 +1,152 @@
+"""Orders to workers over the platform's HTTP calls."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from galenarill.errors import ProtocolError
+from galenarill.platform.wire import decode_clock, decode_lists
+from galenarill.workers import (
+    OrderAnswer,
+    StartOrder,
+    Verdict,
+    WorkerClient,
+    WorkerReport,
+)
+
+__all__ = ["HttpWorkerClient"]
+
+# Time for an answer beyond what the worker may wait, in seconds.
+ORDER_SECONDS = 0.7
+# Connections to one worker: one for renewals, the others for orders.
+MAX_CONNECTIONS = 8
+EXPECT_LIFE = "X-Galenarill-Expect-Instance"
+
+_REASONS = {
+    "fence": Verdict.FENCED,
+    "old": Verdict.OLD,
+    "late": Verdict.LATE,
+    "room": Verdict.NO_ROOM,
+    "ticket": Verdict.NO_TICKET,
+}
+
+
+class HttpWorkerClient(WorkerClient):
+    """The platform's calls to workers, over kept connections."""
+
+    def __init__(self):
+        """Open no connection yet."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, limit_per_host=MAX_CONNECTIONS, keepalive_timeout=30
+            )
+        )
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._session.close()
+
+    async def renew(
+        self,
+        worker: WorkerReport,
+        token: int,
+        noted_end: int,
+        until_ms: int | None,
+        wait_ms: int,
+    ) -> OrderAnswer:
+        """Renew a worker's lease and read its lists."""
+        body = {"fence": token, "seen_upto": noted_end}
+        if until_ms is not None:
+            body["until_ms"] = until_ms
+        if wait_ms:
+            body["wait_ms"] = wait_ms
+        status, data = await self._call(
+            worker, "hold", body, ORDER_SECONDS + wait_ms / 1000
+        )
+        answer = _answer(status, data)
+        if answer.verdict is not Verdict.DONE:
+            return answer
+        try:
+            lists = decode_lists(data)
+        except ProtocolError:
+            return OrderAnswer(Verdict.NO_ANSWER)
+        return OrderAnswer(Verdict.DONE, lists.clock_ms, lists)
+
+    async def start(
+        self, worker: WorkerReport, order: StartOrder
+    ) -> OrderAnswer:
+        """Start a run."""
+        body = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.payload,
+            "until_ms": order.until_ms,
+            "fence": order.token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return _answer(
+            *await self._call(worker, "run-start", body, ORDER_SECONDS)
+        )
+
+    async def stop(
+        self, worker: WorkerReport, task: str, run: int, token: int
+    ) -> OrderAnswer:
+        """Stop a run, and bar it if it has not begun."""
+        body = {"task": task, "run": run, "fence": token}
+        return _answer(
+            *await self._call(worker, "run-stop", body, ORDER_SECONDS)
+        )
+
+    async def pace(
+        self,
+        worker: WorkerReport,
+        task: str,
+        run: int,
+        percent: int,
+        token: int,
+    ) -> OrderAnswer:
+        """Let a run work at a share of its full speed."""
+        body = {"task": task, "run": run, "percent": percent, "fence": token}
+        return _answer(*await self._call(worker, "pace", body, ORDER_SECONDS))
+
+    async def _call(
+        self, worker: WorkerReport, name: str, body: dict, seconds: float
+    ) -> tuple[int, bytes]:
+        """Return the status, or 0 without an answer, and the body."""
+        try:
+            async with asyncio.timeout(seconds):
+                async with self._session.post(
+                    f"http://{worker.address}/galenarill/{name}",
+                    data=msgspec.json.encode(body),
+                    headers={
+                        "Content-Type": "application/json",
+                        EXPECT_LIFE: worker.worker,
+                    },
+                ) as response:
+                    return response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            # The caller logs what follows from having no answer.
+            return 0, b""
+
+
+def _answer(status: int, data: bytes) -> OrderAnswer:
+    clock_ms, reason = decode_clock(data) if data else (None, "")
+    match status:
+        case 200:
+            verdict = Verdict.DONE
+        case 409:
+            verdict = _REASONS.get(reason, Verdict.INVALID)
+        case 421:
+            # Another worker's clock.
+            verdict, clock_ms = Verdict.OTHER_LIFE, None
+        case 429 | 503:
+            verdict = Verdict.UNHEALTHY
+        case 400 | 404:
+            verdict = Verdict.INVALID
+        case _:
+            verdict = Verdict.NO_ANSWER
+    return OrderAnswer(verdict, clock_ms)
--- /dev/null
+++ b/galenarill/routing/table.py
@@ -0,0 +1,120 @@
+"""Finds the queue and the tenant of a request."""
+
+import enum
+
+from galenarill.routing.model import (
+    Configuration,
+    ConfigurationFault,
+    Pool,
+    Queue,
+    Tenant,
+)
+from galenarill.world import PoolId, QueueId, TeamId
+
+__all__ = ["RoutingTable", "Refusal", "find_fault"]
+
+
+class Refusal(enum.Enum):
+    """Why a request is not let in."""
+
+    NO_CONFIGURATION = "no configuration yet"
+    UNKNOWN_QUEUE = "no such queue"
+    UNKNOWN_KEY = "no such key"
+
+
+class RoutingTable:
+    """Index over one configuration.
+
+    Example:
+        >>> queue = Queue("q", "a.example", "/x/", "p", 0, 1, 1.5, 600, True)
+        >>> table = RoutingTable(Configuration(1, (queue,), (), ()))
+        >>> table.find("a.example", "/x/17", None)[0].name
+        'q'
+        >>> table.find("a.example", "/y/17", None)
+        <Refusal.UNKNOWN_QUEUE: 'no such queue'>
+    """
+
+    def __init__(self, configuration: Configuration):
+        """Index `configuration`."""
+        self.configuration = configuration
+        self._queues: dict[QueueId, Queue] = {
+            queue.name: queue for queue in configuration.queues
+        }
+        self._pools: dict[PoolId, Pool] = {
+            pool.name: pool for pool in configuration.pools
+        }
+        self._tenants: dict[TeamId, Tenant] = {
+            tenant.name: tenant for tenant in configuration.tenants
+        }
+        self._tenant_of_key: dict[str, Tenant] = {
+            key: tenant
+            for tenant in configuration.tenants
+            for key in tenant.keys
+        }
+        by_host: dict[str, list[Queue]] = {}
+        for queue in configuration.queues:
+            by_host.setdefault(queue.host, []).append(queue)
+        for queues in by_host.values():
+            queues.sort(key=lambda queue: len(queue.prefix), reverse=True)
+        self._by_host = by_host
+
+    def find(
+        self, host: str, path: str, key: str | None
+    ) -> tuple[Queue, TeamId] | Refusal:
+        """Return the queue and the tenant of a request.
+
+        The longest prefix that the path begins with selects the queue. The
+        tenant is "" for a request without a key to an open queue.
+        """
+        if not self.configuration.version:
+            return Refusal.NO_CONFIGURATION
+        for queue in self._by_host.get(host, ()):
+            if path.startswith(queue.prefix):
+                break
+        else:
+            return Refusal.UNKNOWN_QUEUE
+        tenant = self._tenant_of_key.get(key) if key else None
+        if tenant is not None:
+            return queue, tenant.name
+        return (queue, TeamId("")) if queue.is_open else Refusal.UNKNOWN_KEY
+
+    def queue(self, name: QueueId) -> Queue | None:
+        """Return the queue of that name, or None."""
+        return self._queues.get(name)
+
+    def pool(self, name: PoolId) -> Pool | None:
+        """Return the pool of that name, or None."""
+        return self._pools.get(name)
+
+    def tenant(self, name: TeamId) -> Tenant | None:
+        """Return the tenant of that name, or None."""
+        return self._tenants.get(name)
+
+
+def find_fault(configuration: Configuration) -> ConfigurationFault | None:
+    """Return what makes `configuration` invalid, or None.
+
+    Example:
+        >>> queue = Queue("q", "a.example", "/x/", "p", 0, 1, 1.5, 600, True)
+        >>> find_fault(Configuration(1, (queue,))).name
+        'UNKNOWN_POOL'
+    """
+    pools = {pool.name for pool in configuration.pools}
+    if any(queue.pool not in pools for queue in configuration.queues):
+        return ConfigurationFault.UNKNOWN_POOL
+    places = [(queue.host, queue.prefix) for queue in configuration.queues]
+    if len(set(places)) < len(places):
+        return ConfigurationFault.SAME_PLACE
+    for entries in (
+        configuration.queues,
+        configuration.pools,
+        configuration.tenants,
+    ):
+        if len({entry.name for entry in entries}) < len(entries):
+            return ConfigurationFault.SAME_NAME
+    owners: dict[str, TeamId] = {}
+    for tenant in configuration.tenants:
+        for key in tenant.keys:
+            if owners.setdefault(key, tenant.name) != tenant.name:
+                return ConfigurationFault.SHARED_KEY
+    return None
--- /dev/null
+++ b/galenarill/workers/__init__.py
@@ -0,0 +1,6 @@
+"""Workers: what they report, their lives and their leases."""
+
+from galenarill.workers.contact import *  # noqa: F403
+from galenarill.workers.orders import *  # noqa: F403
+from galenarill.workers.registry import *  # noqa: F403
+from galenarill.workers.report import *  # noqa: F403
--- /dev/null
+++ b/galenarill/workers/registry.py
@@ -0,0 +1,82 @@
+"""The lives of workers that are known here."""
+
+import dataclasses
+
+import msgspec
+
+from galenarill.workers.report import WorkerReport
+from galenarill.world import WorkerId
+
+__all__ = ["WorkerRegistry", "KnownWorker"]
+
+# Silence after which a worker is forgotten, in seconds: many heartbeats.
+FORGET_SECONDS = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class KnownWorker:
+    """The latest report of a worker.
+
+    Attributes:
+        report: The report.
+        heard_at: When it arrived, on the steady clock.
+    """
+
+    report: WorkerReport
+    heard_at: float
+
+
+class WorkerRegistry:
+    """Latest report of each worker, by its id.
+
+    A later life replaces an earlier one; a late report of an earlier life, or
+    one that was overtaken, changes nothing.
+    """
+
+    def __init__(self):
+        """Make an empty registry."""
+        self.workers: dict[WorkerId, KnownWorker] = {}
+        # Start of the latest life that has left, by id.
+        self._left: dict[WorkerId, int] = {}
+
+    def note(self, report: WorkerReport, now: float) -> bool:
+        """Take in a report.
+
+        Returns:
+            Whether it is news.
+        """
+        if report.born <= self._left.get(report.worker, -1):
+            return False
+        known = self.workers.get(report.worker)
+        if known is not None:
+            latest = known.report
+            if (report.born, report.sequence) <= (latest.born, latest.sequence):
+                return False
+            if report.born == latest.born and latest.is_draining:
+                # A draining worker never becomes ready again.
+                report = msgspec.structs.replace(report, is_draining=True)
+        self.workers[report.worker] = KnownWorker(report, now)
+        return True
+
+    def note_left(self, worker: WorkerId) -> WorkerReport | None:
+        """Take in that a worker has left.
+
+        Returns:
+            Its latest report, if it was known.
+        """
+        known = self.workers.pop(worker, None)
+        if known is None:
+            return None
+        self._left[worker] = known.report.born
+        return known.report
+
+    def forget_silent(self, now: float) -> list[WorkerReport]:
+        """Drop workers that have not been heard from for long."""
+        silent = [
+            known.report
+            for known in self.workers.values()
+            if known.heard_at < now - FORGET_SECONDS
+        ]
+        for report in silent:
+            del self.workers[report.worker]
+        return silent
--- a/galenarill/world/__init__.py
+++ b/galenarill/world/__init__.py
@@ -1,5 +1,6 @@
 """The things that the fleet consists of."""
 
+from galenarill.world.clocks import *  # noqa: F403
 from galenarill.world.hashing import *  # noqa: F403
 from galenarill.world.ids import *  # noqa: F403
 from galenarill.world.keys import *  # noqa: F403
--- a/galenarill/world/ids.py
+++ b/galenarill/world/ids.py
@@ -15,6 +15,9 @@
     "RequestId",
     "ChangeId",
     "OperatorId",
+    "JobId",
+    "WorkerId",
+    "MachineId",
 ]
 
 VmId = NewType("VmId", str)
@@ -29,3 +32,6 @@
 RequestId = NewType("RequestId", str)
 ChangeId = NewType("ChangeId", str)
 OperatorId = NewType("OperatorId", str)
+JobId = NewType("JobId", str)
+WorkerId = NewType("WorkerId", str)
+MachineId = NewType("MachineId", str)
