Move machines to where work waits, and carry out waves of upkeep

Change: the leader reads the platform's machines, moves idle ones by load, and orders upkeep within the wave's limit and the steps' budgets. Intents are committed first; tokens rise with each order.

--- a/galenarill/coordinator/answers.py
+++ b/galenarill/coordinator/answers.py
@@ -207,7 +207,7 @@
         )
         if isinstance(found, Refusal):
             return found
-        queue, tenant = found
+        _, tenant = found
         job = self._state.jobs.get(request.job)
         # Another tenant's job does not exist for the caller.
         if job is None or (job.tenant and tenant and job.tenant != tenant):
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -17,12 +17,16 @@
     End,
     EndRun,
     ForgetJobs,
+    Job,
     JobStatus,
     StartRun,
+    Step,
     TaskKey,
 )
 from galenarill.placement import Budget, Candidate, Room, plan, rank
+from galenarill.pools import PoolLoad
 from galenarill.routing import Resources
+from galenarill.upkeep import StepPresence
 from galenarill.workers import (
     Contact,
     OrderAnswer,
@@ -106,6 +110,9 @@
         # Workers on which a task has failed, so that it is tried elsewhere.
         self._failed_on: dict[tuple[JobId, TaskKey], set[WorkerId]] = {}
         self._ending: set[tuple[str, int, int]] = set()
+        self._cordoned: set[WorkerId] = set()
+        # Ready tasks that the latest placement left over, by pool.
+        self._unplaced: dict[PoolId, list[Step]] = {}
 
     def start(self) -> None:
         """Take over what the state holds, and begin to schedule."""
@@ -149,6 +156,17 @@
             return
         if contact is not None:
             self._end_life(contact, "a later life has begun")
+        for other in list(self._contacts.values()):
+            if report.machine and other.report.machine == report.machine:
+                if other.report.born > report.born:
+                    # A late report of a life that is over.
+                    return
+                self._end_life(other, "a later worker has its machine")
+                self._lose(
+                    other.report.worker,
+                    "a later worker has its machine",
+                    _ANY_LIFE,
+                )
         contact = Contact(report, self._since)
         self._contacts[report.worker] = contact
         # Runs noted for an earlier life of this worker are dead.
@@ -191,6 +209,86 @@
         if touched:
             self._wake.set()
 
+    def is_idle(self, worker: WorkerId) -> bool:
+        """Tell whether nothing runs or is about to run on a worker."""
+        if self._runs.by_worker.get(worker):
+            return False
+        return not any(
+            worker == member
+            for members in self._proposed.values()
+            for member, _, _ in members
+        )
+
+    def cordon(self, worker: WorkerId) -> None:
+        """Start nothing more on a worker."""
+        self._cordoned.add(worker)
+
+    def uncordon(self, worker: WorkerId) -> None:
+        """Let a worker take starts again."""
+        self._cordoned.discard(worker)
+        self._wake.set()
+
+    def end_worker(self, worker: WorkerId, why: str) -> None:
+        """Take in that a worker's life was ended by an order of ours."""
+        contact = self._contacts.get(worker)
+        if contact is None:
+            return
+        self._registry.note_left(worker)
+        self._end_life(contact, why)
+        self._spawn(self._lose_later(contact.report))
+
+    def evacuate(self, worker: WorkerId, place: tuple) -> None:
+        """Stop one task of a step on a worker, so that it starts elsewhere."""
+        for run in self._runs.on_worker(worker):
+            if (run.job, run.key.occurrence, run.key.step) == place:
+                self._stop_soon(run)
+                return
+
+    def waiting_in(self, pool: PoolId) -> int:
+        """Return how many ready tasks of a pool found no worker."""
+        return len(self._unplaced.get(pool, ()))
+
+    def add_load(self, loads: dict[PoolId, PoolLoad]) -> None:
+        """Add what runs and waits to the load of each pool."""
+        routing = self._state.routing
+        for job_id, job in self._state.jobs.items():
+            queue = routing.queue(job.queue)
+            load = loads.get(queue.pool) if queue is not None else None
+            if load is None:
+                continue
+            for run in self._runs.runs_of(job_id):
+                load.running = load.running.plus(run.step.reserved)
+            if job.status is JobStatus.ACTIVE:
+                load.floor = max(load.floor, _least_workers(job))
+        for pool, steps in self._unplaced.items():
+            if pool in loads:
+                load = loads[pool]
+                load.unplaced = len(steps)
+                for step in steps:
+                    load.waiting = load.waiting.plus(step.reserved)
+
+    def lasting_steps(self) -> dict[tuple, StepPresence]:
+        """Return how many tasks of each step that lasts are not at work."""
+        steps: dict[tuple, StepPresence] = {}
+        for job_id, job in self._state.jobs.items():
+            if job.status is not JobStatus.ACTIVE:
+                continue
+            for number, step in enumerate(job.spec.steps):
+                if not step.lasts:
+                    continue
+                at_work: dict[int, set] = {}
+                for run in self._runs.runs_of(job_id):
+                    if run.key.step == number and _is_at_work(run):
+                        at_work.setdefault(run.key.occurrence, set()).add(
+                            (run.key.index, run.member)
+                        )
+                for occurrence in range(job.spec.occurrences):
+                    present = len(at_work.get(occurrence, ()))
+                    steps[job_id, occurrence, number] = StepPresence(
+                        step.may_miss, step.count - present
+                    )
+        return steps
+
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -224,10 +322,18 @@
 
     def _place(self) -> None:
         candidates = self._candidates()
+        self._unplaced = {}
         if not candidates:
             return
         commands, chosen = [], []
-        for placement in plan(candidates, self._rooms(), self._budgets()):
+        placements = plan(candidates, self._rooms(), self._budgets())
+        placed = {(p.candidate.job, p.candidate.key) for p in placements}
+        for candidate in candidates:
+            if (candidate.job, candidate.key) not in placed:
+                self._unplaced.setdefault(candidate.pool, []).append(
+                    candidate.step
+                )
+        for placement in placements:
             candidate = placement.candidate
             place = (candidate.job, candidate.key)
             job = self._state.jobs[candidate.job]
@@ -339,6 +445,7 @@
             contact.is_read
             and contact.answered_at > now - ANSWER_SECONDS
             and not report.is_draining
+            and report.worker not in self._cordoned
             and self._state.draining.get(report.worker) != report.born
             and self._refused_until.get(report.worker, 0) <= now
         )
@@ -691,5 +798,25 @@
             self._propose(ForgetJobs(old))
 
 
+def _is_at_work(run: TrackedRun) -> bool:
+    return (
+        run.phase is Phase.RUNNING
+        and run.row is not None
+        and run.row.percent >= 100
+    )
+
+
+def _least_workers(job: Job) -> int:
+    """Return how many workers a job's tasks that last need at least."""
+    return max(
+        (
+            -(-step.count // step.max_per_worker)
+            for step in job.spec.steps
+            if step.lasts and step.max_per_worker
+        ),
+        default=0,
+    )
+
+
 _ANY_LIFE = 1 << 62
 _UNKNOWN = WorkerReport(WorkerId(""), 0, 0, "", "", "", "", "", (), Resources())
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -25,11 +25,13 @@
 )
 from galenarill.coordinator.answers import Answers
 from galenarill.coordinator.leader import Leader
+from galenarill.coordinator.machines import MachineKeeper
 from galenarill.coordinator.proposals import Proposals
 from galenarill.coordinator.service import CoordinatorService
 from galenarill.errors import ProtocolError
 from galenarill.jobs import ClusterState, decode_commands
 from galenarill.links import Mesh
+from galenarill.pools import MachineClient
 from galenarill.settings import NodeSettings
 from galenarill.workers import WorkerClient, WorkerRegistry, WorkerReport
 from galenarill.world import VmId, WorkerId, steady_now
@@ -77,15 +79,27 @@
 class Coordinator(CoordinatorService):
     """One coordinator's process, but for the interfaces it is reached by."""
 
-    def __init__(self, settings: NodeSettings, client: WorkerClient):
+    def __init__(
+        self,
+        settings: NodeSettings,
+        client: WorkerClient,
+        machine_client: MachineClient | None,
+    ):
         """Open the journal and make all parts; see `run`.
 
+        Args:
+            settings: Settings of this process.
+            client: Sends orders to workers.
+            machine_client: The platform's machine interface, or None.
+
         Raises:
             JournalError: If the disk cannot be used.
         """
         self._settings = settings
         self._vm = settings.link_address
         self._client = client
+        self._machine_client = machine_client
+        self._keeper: asyncio.Task | None = None
         self._registry = WorkerRegistry()
         self._leader: Leader | None = None
         self._calls = LeaderClient(self._send)
@@ -161,7 +175,7 @@
                 group.create_task(self._tell_presence())
         finally:
             if self._leader is not None:
-                self._leader.stop()
+                self._stop_leading()
             await self._mesh.stop()
 
     async def ask(self, request, deadline: float) -> Reply:
@@ -285,18 +299,42 @@
         if self._leader is not None and (
             self._leader.term != term or self._replica.role is not Role.LEADER
         ):
-            self._leader.stop()
-            self._leader = None
-            self._broadcast_presence()
+            self._stop_leading()
         if self._leader is None and self._is_settled():
-            self._leader = Leader(
-                term,
+            self._start_leading(term)
+
+    def _start_leading(self, term: int) -> None:
+        settings = self._settings
+        self._leader = Leader(
+            term,
+            self._state,
+            self._registry,
+            self._client,
+            self._proposals.propose,
+            self._is_confirmed,
+            settings.keep_job_seconds,
+        )
+        self._leader.start()
+        if self._machine_client is not None:
+            keeper = MachineKeeper(
+                self._leader,
                 self._state,
-                self._registry,
-                self._client,
+                self._machine_client,
                 self._proposals.propose,
-                lambda: self._replica.is_confirmed(steady_now()),
-                self._settings.keep_job_seconds,
+                self._is_confirmed,
+                settings.vm,
+                settings.machine_lease_ms / 1000,
             )
-            self._leader.start()
-            self._broadcast_presence()
+            self._keeper = asyncio.create_task(keeper.run())
+        self._broadcast_presence()
+
+    def _stop_leading(self) -> None:
+        self._leader.stop()
+        self._leader = None
+        if self._keeper is not None:
+            self._keeper.cancel()
+            self._keeper = None
+        self._broadcast_presence()
+
+    def _is_confirmed(self) -> bool:
+        return self._replica.is_confirmed(steady_now())
--- a/galenarill/jobs/state.py
+++ b/galenarill/jobs/state.py
@@ -70,6 +70,13 @@
         """Index of the last entry applied."""
         return self._version
 
+    @property
+    def has_ordered_machines(self) -> bool:
+        """Whether any machine was ever ordered to move or to its upkeep."""
+        return bool(
+            self.placed or any(wave.ordered for wave in self.waves.values())
+        )
+
     @property
     def routing(self) -> RoutingTable:
         """The configuration in force."""
--- a/galenarill/platform/process.py
+++ b/galenarill/platform/process.py
@@ -10,6 +10,7 @@
 from galenarill.gateway.node import Gateway
 from galenarill.platform.control import ControlServer
 from galenarill.platform.front import FrontServer
+from galenarill.platform.machine_client import HttpMachineClient
 from galenarill.platform.worker_client import HttpWorkerClient
 from galenarill.settings import NodeSettings
 
@@ -42,9 +43,14 @@
 async def run_coordinator(settings: NodeSettings) -> None:
     """Run a coordinator until it gets SIGTERM or SIGINT."""
     stop = _stop_event()
-    client = HttpWorkerClient()
-    async with contextlib.aclosing(client):
-        coordinator = Coordinator(settings, client)
+    async with contextlib.AsyncExitStack() as stack:
+        client = HttpWorkerClient()
+        stack.push_async_callback(client.aclose)
+        machines = None
+        if settings.machines:
+            machines = HttpMachineClient(settings.machines)
+            stack.push_async_callback(machines.aclose)
+        coordinator = Coordinator(settings, client, machines)
         control = ControlServer(coordinator)
         running = asyncio.create_task(coordinator.run())
         await control.start(settings.control)
