--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -102,7 +102,7 @@
     buffer = start_logging(loaded.vm, "-")
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run(loaded))
+            runner.run(run(file))
     finally:
         buffer.flush()
 
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -162,6 +162,11 @@
         """The replicated state as applied here."""
         return self._state
 
+    def add_seeds(self, settings: NodeSettings) -> None:
+        """Take in seeds that were not known before."""
+        for vm in settings.seed_links:
+            self._mesh.add_peer(vm, vm)
+
     async def run(self) -> None:
         """Work until cancelled.
 
--- a/galenarill/gateway/node.py
+++ b/galenarill/gateway/node.py
@@ -42,6 +42,11 @@
         """Whether the balancer should send callers here."""
         return not self._is_leaving and bool(self._mesh.connected)
 
+    def add_seeds(self, settings: NodeSettings) -> None:
+        """Take in seeds that were not known before."""
+        for vm in settings.seed_links:
+            self._mesh.add_peer(vm, vm)
+
     def leave(self) -> None:
         """Ask the balancer to send no more callers."""
         self._is_leaving = True
--- a/galenarill/platform/process.py
+++ b/galenarill/platform/process.py
@@ -3,16 +3,23 @@
 import asyncio
 import contextlib
 import logging
+import pathlib
 import signal
+from collections.abc import Callable
 
 from galenarill.coordinator.node import Coordinator
-from galenarill.errors import GalenarillError
+from galenarill.errors import (
+    GalenarillError,
+    JournalCorruptError,
+    JournalError,
+    SettingsFindings,
+)
 from galenarill.gateway.node import Gateway
 from galenarill.platform.control import ControlServer
 from galenarill.platform.front import FrontServer
 from galenarill.platform.machine_client import HttpMachineClient
 from galenarill.platform.worker_client import HttpWorkerClient
-from galenarill.settings import NodeSettings
+from galenarill.settings import NodeSettings, load_node_settings
 
 __all__ = ["run_gateway", "run_coordinator"]
 
@@ -21,14 +28,22 @@
 # Part of the time before SIGKILL in which a gateway serves on, so that its
 # open connections are used up and the balancer has noticed.
 LEAVE_SHARE = 0.6
+REOPEN_SECONDS = 1.0
+RELOAD_SECONDS = 2.0
 
 
-async def run_gateway(settings: NodeSettings) -> None:
-    """Run a gateway until it gets SIGTERM or SIGINT."""
+async def run_gateway(file: pathlib.Path) -> None:
+    """Run a gateway until it gets SIGTERM or SIGINT.
+
+    Args:
+        file: Settings of this process, read again on SIGHUP and when changed.
+    """
     stop = _stop_event()
+    settings = load_node_settings(file)
     gateway = Gateway(settings)
     front = FrontServer(gateway)
     running = asyncio.create_task(gateway.run())
+    watching = asyncio.create_task(_watch_settings(file, gateway.add_seeds))
     await front.start(settings.callers, settings.readiness)
     logger.info("started", extra={"listen": settings.callers})
     await _wait(stop, running)
@@ -36,13 +51,22 @@
     logger.info("leaving")
     await asyncio.sleep(settings.grace_seconds * LEAVE_SHARE)
     await front.stop()
+    await _cancel(watching)
     await _cancel(running)
     logger.info("stopped")
 
 
-async def run_coordinator(settings: NodeSettings) -> None:
-    """Run a coordinator until it gets SIGTERM or SIGINT."""
+async def run_coordinator(file: pathlib.Path) -> None:
+    """Run a coordinator until it gets SIGTERM or SIGINT.
+
+    A journal that cannot be written is opened anew until it can be: what has
+    reached the disk is then read again.
+
+    Args:
+        file: Settings of this process, read again on SIGHUP and when changed.
+    """
     stop = _stop_event()
+    settings = load_node_settings(file)
     async with contextlib.AsyncExitStack() as stack:
         client = HttpWorkerClient()
         stack.push_async_callback(client.aclose)
@@ -50,16 +74,67 @@
         if settings.machines:
             machines = HttpMachineClient(settings.machines)
             stack.push_async_callback(machines.aclose)
-        coordinator = Coordinator(settings, client, machines)
-        control = ControlServer(coordinator)
-        running = asyncio.create_task(coordinator.run())
+        while not stop.is_set():
+            try:
+                await _coordinate(file, client, machines, stop)
+            except JournalCorruptError:
+                raise
+            except JournalError as error:
+                logger.critical(
+                    "journal is opened anew", extra={"why": str(error)}
+                )
+                await asyncio.sleep(REOPEN_SECONDS)
+        logger.info("stopped")
+
+
+async def _coordinate(
+    file: pathlib.Path,
+    client: HttpWorkerClient,
+    machines: HttpMachineClient | None,
+    stop: asyncio.Event,
+) -> None:
+    settings = load_node_settings(file)
+    coordinator = Coordinator(settings, client, machines)
+    control = ControlServer(coordinator)
+    running = asyncio.create_task(coordinator.run())
+    watching = asyncio.create_task(_watch_settings(file, coordinator.add_seeds))
+    try:
         await control.start(settings.control)
         logger.info("started", extra={"listen": settings.control})
         await _wait(stop, running)
         logger.info("leaving")
+    finally:
         await control.stop()
+        await _cancel(watching)
         await _cancel(running)
-        logger.info("stopped")
+
+
+async def _watch_settings(
+    file: pathlib.Path, add_seeds: Callable[[NodeSettings], None]
+) -> None:
+    """Take in new seeds on SIGHUP, or when the file has changed."""
+    hangup = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, hangup.set)
+    content = _read(file)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(hangup.wait(), RELOAD_SECONDS)
+        is_asked, was = hangup.is_set(), content
+        hangup.clear()
+        try:
+            content = _read(file)
+            if not is_asked and content == was:
+                continue
+            settings = load_node_settings(file)
+        except (OSError, SettingsFindings) as error:
+            logger.error("settings not reloaded", extra={"why": str(error)})
+            continue
+        add_seeds(settings)
+        logger.info("settings reloaded", extra={"seeds": settings.seeds})
+
+
+def _read(file: pathlib.Path) -> bytes:
+    return file.read_bytes()
 
 
 def _stop_event() -> asyncio.Event:
@@ -85,5 +160,4 @@
 
 async def _cancel(running: asyncio.Task) -> None:
     running.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await running
+    await asyncio.gather(running, return_exceptions=True)
