Give a pool that runs short what a queue's turn needs, at once

Cause: pools grew by one machine a step while tasks waited, so a turn's first seconds were late and machines came after they were needed; a lull released them again. Change: presence at work needs a fresh answer; an order ends only the life that was known before it; pools are sized by what is left when a machine arrives, with a third of the fleet once tasks find no worker.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -17,13 +17,21 @@
     End,
     EndRun,
     ForgetJobs,
+    Incarnation,
     Job,
     JobStatus,
     StartRun,
     Step,
     TaskKey,
 )
-from galenarill.placement import Budget, Candidate, Room, plan, rank
+from galenarill.placement import (
+    Budget,
+    Candidate,
+    Room,
+    estimated_seconds,
+    plan,
+    rank,
+)
 from galenarill.pools import PoolLoad
 from galenarill.routing import Resources
 from galenarill.upkeep import StepPresence
@@ -57,6 +65,9 @@
 REFUSED_SECONDS = 0.3
 # How long an ended job is kept, in seconds, beyond the platform's bound.
 KEEP_MARGIN_SECONDS = 30.0
+# From the decision to move a machine until its worker takes starts, in
+# seconds; the platform's move takes most of it.
+ARRIVAL_SECONDS = 2.0
 # A worker that has left may still be ending what it ran, in seconds.
 LEFT_SECONDS = 0.3
 
@@ -228,11 +239,17 @@
         self._cordoned.discard(worker)
         self._wake.set()
 
-    def end_worker(self, worker: WorkerId, why: str) -> None:
-        """Take in that a worker's life was ended by an order of ours."""
+    def life_of(self, worker: WorkerId) -> Incarnation | None:
+        """Return the present life of a worker, or None if none is known."""
         contact = self._contacts.get(worker)
-        if contact is None:
+        return contact and Incarnation(worker, contact.report.born)
+
+    def end_worker(self, life: Incarnation | None, why: str) -> None:
+        """Take in that a worker's life was ended by an order of ours."""
+        if life is None or self.life_of(life.worker) != life:
             return
+        worker = life.worker
+        contact = self._contacts[worker]
         self._registry.note_left(worker)
         self._end_life(contact, why)
         self._spawn(self._lose_later(contact.report))
@@ -265,7 +282,7 @@
                 load = loads[pool]
                 load.unplaced = len(steps)
                 for step in steps:
-                    load.waiting = load.waiting.plus(step.reserved)
+                    load.waiting = load.waiting.plus(_by_arrival(step))
 
     def lasting_steps(self) -> dict[tuple, StepPresence]:
         """Return how many tasks of each step that lasts are not at work."""
@@ -278,7 +295,7 @@
                     continue
                 at_work: dict[int, set] = {}
                 for run in self._runs.runs_of(job_id):
-                    if run.key.step == number and _is_at_work(run):
+                    if run.key.step == number and self._is_at_work(run):
                         at_work.setdefault(run.key.occurrence, set()).add(
                             (run.key.index, run.member)
                         )
@@ -289,6 +306,17 @@
                     )
         return steps
 
+    def _is_at_work(self, run: TrackedRun) -> bool:
+        """Tell whether a task that lasts is surely at work now."""
+        contact = self._contact_of(run)
+        return (
+            contact is not None
+            and contact.answered_at > steady_now() - ANSWER_SECONDS
+            and run.phase is Phase.RUNNING
+            and run.row is not None
+            and run.row.percent >= 100
+        )
+
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -798,12 +826,13 @@
             self._propose(ForgetJobs(old))
 
 
-def _is_at_work(run: TrackedRun) -> bool:
-    return (
-        run.phase is Phase.RUNNING
-        and run.row is not None
-        and run.row.percent >= 100
-    )
+def _by_arrival(step: Step) -> Resources:
+    """Return what a waiting task will still ask for when a machine arrives."""
+    share = min(1.0, estimated_seconds(step) / ARRIVAL_SECONDS)
+    if step.lasts:
+        share = 1.0
+    need = step.reserved
+    return Resources(int(need.cpu * share), int(need.mem_mb * share), need.gpu)
 
 
 def _least_workers(job: Job) -> int:
--- a/galenarill/coordinator/machines.py
+++ b/galenarill/coordinator/machines.py
@@ -1,7 +1,9 @@
 """The leader's orders on machines: moves between pools, and upkeep."""
 
 import asyncio
+import collections
 import logging
+import math
 import time
 from collections.abc import Callable
 
@@ -24,6 +26,8 @@
     Move,
     PoolLoad,
     plan_moves,
+    typical_capacity,
+    wanted_machines,
 )
 from galenarill.upkeep import Subject, choose
 from galenarill.world import MachineId, PoolId, WorkerId, steady_now
@@ -43,8 +47,16 @@
 ORDERS_PER_TERM = 1 << 20
 # Time for which a machine that was busy is left alone, in seconds.
 BUSY_SECONDS = 1.0
+# A pool keeps what it wanted in the last seconds through a lull.
+LULL_SECONDS = 2.0
+POOL_LOG_SECONDS = 1.0
+# Share of the fleet that a queue needs in its turn; measured: 11 to 18 of 30.
+SURGE_SHARE = 0.34
+# Tasks that find no worker for this long show that a turn has begun, in
+# seconds.
+SHORT_SECONDS = 0.25
 # Least machines of a pool that serves, so that the loss of one stops nothing.
-MIN_MACHINES = 2
+MIN_MACHINES = 3
 
 
 class MachineKeeper:
@@ -96,6 +108,10 @@
         # When the upkeep of a machine was acknowledged, on the steady clock.
         self._acknowledged: dict[MachineId, float] = {}
         self._refused: set[tuple[str, PoolId]] = set()
+        # Since when tasks of a pool have found no worker.
+        self._short_since: dict[PoolId, float] = {}
+        self._logged_at = float("-inf")
+        self._wanted: dict[PoolId, collections.deque] = {}
         self._orders_open: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -133,10 +149,41 @@
             await self._read()
         self._note_idle(now)
         self._keep_waves()
-        moves = plan_moves(self._loads(), self._members(now), self._refused)
+        loads, members = self._loads(), self._members(now)
+        self._log_pools(loads, members, now)
+        moves = plan_moves(loads, members, self._refused)
         for move in moves:
             self._begin_move(move)
 
+    def _log_pools(
+        self,
+        loads: dict[PoolId, PoolLoad],
+        members: list[Member],
+        now: float,
+    ) -> None:
+        """Log what each pool has and wants, at most once a second."""
+        if now < self._logged_at + POOL_LOG_SECONDS:
+            return
+        # Since when tasks of a pool have found no worker.
+        self._short_since: dict[PoolId, float] = {}
+        self._logged_at = now
+        logger.info(
+            "pools",
+            extra={
+                "pools": {
+                    pool: {
+                        "machines": sum(m.pool == pool for m in members),
+                        "wanted": load.recently_wanted,
+                        "running_cpu": load.running.cpu,
+                        "waiting_cpu": load.waiting.cpu,
+                        "unplaced": load.unplaced,
+                    }
+                    for pool, load in loads.items()
+                },
+                "list_age": round(now - self._read_at, 3),
+            },
+        )
+
     def _is_changing(self) -> bool:
         return bool(
             self._moving
@@ -177,8 +224,29 @@
             for pool in self._state.routing.configuration.pools
         }
         self._leader.add_load(loads)
+        self._note_wanted(loads)
         return loads
 
+    def _note_wanted(self, loads: dict[PoolId, PoolLoad]) -> None:
+        """Remember what each pool wanted, so that a lull releases nothing."""
+        now = steady_now()
+        capacity = typical_capacity(
+            [machine.capacity for machine in self._machines.values()]
+        )
+        if capacity is None:
+            return
+        surge = math.ceil(len(self._machines) * SURGE_SHARE)
+        for pool, load in loads.items():
+            if not load.unplaced:
+                self._short_since.pop(pool, None)
+            elif now >= self._short_since.setdefault(pool, now) + SHORT_SECONDS:
+                load.surge = surge
+            recent = self._wanted.setdefault(pool, collections.deque())
+            recent.append((now, wanted_machines(load, capacity)))
+            while recent[0][0] < now - LULL_SECONDS:
+                recent.popleft()
+            load.recently_wanted = max(wanted for _, wanted in recent)
+
     def _members(self, now: float) -> list[Member]:
         return [self._member(m, now) for m in self._machines.values()]
 
@@ -204,6 +272,7 @@
             is_up,
             0.0 if since is None else now - since,
             counts,
+            machine.id in self._moving,
         )
 
     def _begin_move(self, move: Move) -> None:
@@ -215,6 +284,7 @@
 
     async def _move(self, machine: Machine, pool: PoolId) -> None:
         worker = machine.worker
+        life = self._leader.life_of(worker)
         try:
             if worker and not self._leader.is_idle(worker):
                 self._moving.pop(machine.id, None)
@@ -241,7 +311,7 @@
                 },
             )
             if verdict is MachineVerdict.DONE:
-                self._leader.end_worker(worker, "its machine was moved")
+                self._leader.end_worker(life, "its machine was moved")
                 return
             self._moving.pop(machine.id, None)
             if verdict is MachineVerdict.INVALID:
@@ -377,6 +447,8 @@
             self._spawn(self._maintain(number, machine))
 
     async def _maintain(self, number: int, machine: Machine) -> None:
+        # A later life may be back before the order is answered.
+        life = self._leader.life_of(machine.worker)
         verdict = await self._order(
             machine,
             lambda token: self._client.maintain(
@@ -398,7 +470,7 @@
             self._leader.uncordon(machine.worker)
         if verdict is MachineVerdict.DONE:
             self._acknowledged[machine.id] = steady_now()
-            self._leader.end_worker(machine.worker, "its machine is maintained")
+            self._leader.end_worker(life, "its machine is maintained")
         elif verdict is MachineVerdict.NOT_OF_WAVE:
             self._finish(number, machine.id, "the platform disowns it")
 
--- a/galenarill/pools/plan.py
+++ b/galenarill/pools/plan.py
@@ -6,7 +6,14 @@
 from galenarill.routing import Resources
 from galenarill.world import MachineId, PoolId
 
-__all__ = ["PoolLoad", "Member", "Move", "wanted_machines", "plan_moves"]
+__all__ = [
+    "PoolLoad",
+    "Member",
+    "Move",
+    "wanted_machines",
+    "plan_moves",
+    "typical_capacity",
+]
 
 # Share of a pool's room that is planned to be used.
 TARGET_USE = 0.85
@@ -24,10 +31,14 @@
     Attributes:
         pool: Pool.
         running: Reserved by runs in progress.
-        waiting: Reserved by tasks that are ready and have no run.
+        waiting: Reserved by tasks that are ready and have no run; short ones
+            count in part, since they leave room before a machine arrives.
         floor: Least number of machines.
         is_spare: Whether its machines are off.
-        unplaced: Tasks that found no worker, however much is free.
+        unplaced: Tasks that found no worker.
+        recently_wanted: Most machines that it wanted in the last seconds.
+        surge: Machines that a queue in its turn is expected to need, while
+            tasks of the pool find no worker; else 0.
     """
 
     pool: PoolId
@@ -36,6 +47,8 @@
     floor: int = 0
     is_spare: bool = False
     unplaced: int = 0
+    recently_wanted: int = 0
+    surge: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +63,7 @@
         is_up: Whether it can be moved.
         idle_seconds: How long it has run nothing; 0 while it runs something.
         counts: Whether the pool may rely on it.
+        is_coming: Whether it is on its way to the pool.
     """
 
     machine: MachineId
@@ -59,6 +73,7 @@
     is_up: bool
     idle_seconds: float
     counts: bool = True
+    is_coming: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +95,12 @@
     if load.is_spare:
         return 0
     total = load.running.plus(load.waiting)
+    if load.surge:
+        return max(load.floor, load.surge, _machines_for(total, capacity))
+    return max(load.floor, _machines_for(total, capacity))
+
+
+def _machines_for(total: Resources, capacity: Resources) -> int:
     use = max(
         amount / room
         for amount, room in (
@@ -89,7 +110,7 @@
         )
         if room
     )
-    return max(load.floor, math.ceil(use / TARGET_USE))
+    return math.ceil(use / TARGET_USE)
 
 
 def plan_moves(
@@ -111,16 +132,16 @@
     by_pool: dict[PoolId, list[Member]] = {pool: [] for pool in loads}
     for member in members:
         by_pool.setdefault(member.pool, []).append(member)
-    capacity = _typical([m.capacity for m in members])
+    capacity = typical_capacity([m.capacity for m in members])
     if capacity is None:
         return []
-    excess = {}
+    excess, have = {}, {}
     for pool, load in loads.items():
-        have = sum(member.counts for member in by_pool[pool])
+        have[pool] = sum(member.counts for member in by_pool[pool])
         wanted = wanted_machines(load, capacity)
-        if load.unplaced:
-            wanted = max(wanted, have + 1)
-        excess[pool] = have - wanted
+        if load.unplaced and not any(m.is_coming for m in by_pool[pool]):
+            wanted = max(wanted, have[pool] + 1)
+        excess[pool] = have[pool] - wanted
     free = sorted(
         (
             member
@@ -134,11 +155,17 @@
         ),
         key=lambda m: (
             not loads[m.pool].is_spare,
-            -excess[m.pool],
             -m.idle_seconds,
             m.machine,
         ),
     )
+
+    def kept(pool: PoolId) -> int:
+        """Return how many machines a pool has beyond its recent need."""
+        load = loads[pool]
+        wanted = wanted_machines(load, capacity)
+        return have[pool] - max(wanted, load.recently_wanted)
+
     moves, moved = [], set()
     for pool in sorted(loads, key=lambda p: (excess[p], p)):
         for member in free:
@@ -148,19 +175,19 @@
             if (
                 member.machine in moved
                 or member.pool == pool
-                or (not source.is_spare and excess[member.pool] <= 0)
+                or (not source.is_spare and kept(member.pool) <= 0)
                 or (member.kind, pool) in refused
             ):
                 continue
             moves.append(Move(member.machine, pool))
             moved.add(member.machine)
             excess[pool] += 1
-            excess[member.pool] -= 1
-    moves += _releases(loads, free, excess, moved, refused)
+            have[member.pool] -= 1
+    moves += _releases(loads, free, kept, have, moved, refused)
     return moves
 
 
-def _releases(loads, free, excess, moved, refused) -> list[Move]:
+def _releases(loads, free, kept, have, moved, refused) -> list[Move]:
     spares = [pool for pool, load in loads.items() if load.is_spare]
     if not spares:
         return []
@@ -170,18 +197,18 @@
             member.machine not in moved
             and not loads[member.pool].is_spare
             and member.idle_seconds >= IDLE_SECONDS
-            and excess[member.pool] > 0
+            and kept(member.pool) > 0
         ):
             target = next(
                 (p for p in spares if (member.kind, p) not in refused), None
             )
             if target is not None:
                 releases.append(Move(member.machine, target))
-                excess[member.pool] -= 1
+                have[member.pool] -= 1
     return releases
 
 
-def _typical(capacities: list[Resources]) -> Resources | None:
+def typical_capacity(capacities: list[Resources]) -> Resources | None:
     """Return the middle one, so that a few odd machines do not matter."""
     if not capacities:
         return None
