--- a/galenarill/coordinator/answers.py
+++ b/galenarill/coordinator/answers.py
@@ -1,7 +1,6 @@
 """The leader's answers to gateways, workers and operators."""
 
 import logging
-import time
 from collections.abc import Callable
 
 from galenarill.cluster import messages as msg
@@ -18,6 +17,7 @@
     StartWave,
 )
 from galenarill.routing import Refusal
+from galenarill.world import wall_now
 
 __all__ = ["Answers"]
 
@@ -91,7 +91,7 @@
         if request.job not in self._state.jobs:
             await self._propose(
                 AcceptJob(
-                    request.job, queue.name, tenant, request.spec, time.time()
+                    request.job, queue.name, tenant, request.spec, wall_now()
                 )
             )
             logger.info(
@@ -122,7 +122,7 @@
         if job is None:
             return Reply(call, Code.UNKNOWN)
         if job.status is JobStatus.ACTIVE:
-            await self._propose(CancelJob(request.job, time.time()))
+            await self._propose(CancelJob(request.job, wall_now()))
             logger.info("job cancelled", extra={"job": request.job})
         return Reply(call, Code.DONE)
 
@@ -180,7 +180,7 @@
                     request.wave,
                     request.machines,
                     request.at_once,
-                    time.time() + request.duration_s,
+                    wall_now() + request.duration_s,
                 )
             )
             logger.info(
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
 from galenarill.coordinator.runs import (
@@ -45,7 +44,7 @@
     WorkerRegistry,
     WorkerReport,
 )
-from galenarill.world import JobId, PoolId, WorkerId, steady_now
+from galenarill.world import JobId, PoolId, WorkerId, steady_now, wall_now
 
 __all__ = ["Leader"]
 
@@ -332,7 +331,7 @@
 
     def _refresh_ready(self, job_id: JobId) -> None:
         job = self._state.jobs.get(job_id)
-        ready = ready_tasks(job, time.time()) if job is not None else []
+        ready = ready_tasks(job, wall_now()) if job is not None else []
         if ready:
             self._ready[job_id] = ready
         else:
@@ -399,7 +398,7 @@
         self._wake.set()
 
     def _candidates(self) -> list[Candidate]:
-        wall = time.time()
+        wall = wall_now()
         ranked = []
         for job_id, keys in self._ready.items():
             job = self._state.jobs[job_id]
@@ -777,7 +776,7 @@
                     run.member,
                     how.value,
                     checkpoint,
-                    time.time(),
+                    wall_now(),
                 )
             )
         finally:
@@ -790,7 +789,7 @@
                 continue
             now = steady_now()
             self._lose_lapsed(now)
-            wall = time.time()
+            wall = wall_now()
             for job_id, job in self._state.jobs.items():
                 if job.spec.repeat_count and job.status is JobStatus.ACTIVE:
                     self._refresh_ready(job_id)
--- a/galenarill/coordinator/machines.py
+++ b/galenarill/coordinator/machines.py
@@ -4,7 +4,6 @@
 import collections
 import logging
 import math
-import time
 from collections.abc import Callable
 
 from galenarill.coordinator.leader import Leader
@@ -30,7 +29,7 @@
     wanted_machines,
 )
 from galenarill.upkeep import Subject, choose
-from galenarill.world import MachineId, PoolId, WorkerId, steady_now
+from galenarill.world import MachineId, PoolId, WorkerId, steady_now, wall_now
 
 __all__ = ["MachineKeeper"]
 
@@ -289,7 +288,7 @@
             if worker and not self._leader.is_idle(worker):
                 self._moving.pop(machine.id, None)
                 return
-            await self._propose(PlaceMachine(machine.id, pool, time.time()))
+            await self._propose(PlaceMachine(machine.id, pool, wall_now()))
             if worker and not self._leader.is_idle(worker):
                 self._moving.pop(machine.id, None)
                 return
@@ -396,11 +395,11 @@
             {place: presence for place, presence in steps.items()},
             down,
             wave.at_once,
-            time.time(),
+            wall_now(),
             wave.deadline_at,
         )
         for machine_id in choice.empty + choice.begin:
-            self._emptying.setdefault(machine_id, time.time())
+            self._emptying.setdefault(machine_id, wall_now())
             self._leader.cordon(self._machines[machine_id].worker)
         for machine_id, place in choice.evacuate:
             self._leader.evacuate(self._machines[machine_id].worker, place)
@@ -437,13 +436,13 @@
         )
 
     async def _order_upkeep(self, number: int, machine: Machine) -> None:
-        await self._propose(OrderUpkeep(number, machine.id, time.time()))
+        await self._propose(OrderUpkeep(number, machine.id, wall_now()))
         await self._maintain(number, machine)
 
     def _maintain_soon(self, number: int, machine: Machine) -> None:
         """Order again what an earlier leader may have ordered."""
         if machine.id not in self._emptying:
-            self._emptying[machine.id] = time.time()
+            self._emptying[machine.id] = wall_now()
             self._spawn(self._maintain(number, machine))
 
     async def _maintain(self, number: int, machine: Machine) -> None:
--- /dev/null
+++ b/galenarill/coordinator/tests/simulation.py
@@ -0,0 +1,187 @@
+"""A leader, its log and its workers in virtual time."""
+
+import asyncio
+import random
+
+from galenarill.coordinator.leader import Leader
+from galenarill.errors import NotLeaderError
+from galenarill.jobs import (
+    AcceptJob,
+    CancelJob,
+    ClusterState,
+    Configure,
+    JobSpec,
+    JobStatus,
+    Step,
+    decode_commands,
+    encode_commands,
+)
+from galenarill.routing import Configuration, Pool, Queue, Resources, Tenant
+from galenarill.workers import WorkerRegistry
+from galenarill.world import replaced_clocks
+from standins.virtual_time import VirtualLoop
+from standins.workers import StandinWorkers
+
+COMMIT_SECONDS = 0.02
+ONE = Resources(1)
+
+
+def make_configuration(version=1, limit=0, attempts=3):
+    queue = Queue("q", "h", "/q/", "pool", 0, attempts, 1.5, 600, True)
+    tenant = Tenant("t", ("key",), 1.0, Resources(limit))
+    return Configuration(
+        version,
+        (queue,),
+        (Pool("pool", True, False), Pool("spare", True, True)),
+        (tenant,),
+        document=b"{}",
+    )
+
+
+class Simulation:
+    """One log, one leader at a time, and workers behind a bad network."""
+
+    def __init__(self, seed=0, seconds_of=None, workers=3, limit=0):
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.rng = random.Random(seed)
+        self.state = ClusterState()
+        self.registry = WorkerRegistry()
+        self.index = 0
+        self.term = 0
+        self.leader = None
+        self.done_at = {}
+        self.seconds_of = seconds_of
+
+        async def start():
+            self.network = StandinWorkers(seed, seconds_of)
+            self.apply([Configure(make_configuration(limit=limit))])
+            for number in range(workers):
+                self.report(self.network.add(f"w{number}"))
+            self.lead()
+
+        self.run(start())
+
+    def run(self, coroutine):
+        with replaced_clocks(self.loop.time):
+            return self.loop.run_until_complete(coroutine)
+
+    def advance(self, seconds):
+        self.run(asyncio.sleep(seconds))
+
+    def close(self):
+        async def stop():
+            if self.leader is not None:
+                self.leader.stop()
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.run(stop())
+        self.loop.close()
+
+    def lead(self):
+        """Let another coordinator lead: the one before stops for good."""
+        if self.leader is not None:
+            self.leader.stop()
+        self.term += 1
+        term = self.term
+        self.leader = Leader(
+            term,
+            self.state,
+            self.registry,
+            self.network,
+            lambda *commands: self.propose(term, *commands),
+            lambda: self.term == term,
+            120.0,
+        )
+        self.leader.start()
+
+    def take_over(self):
+        async def run():
+            self.lead()
+
+        self.run(run())
+
+    def propose(self, term, *commands):
+        future = self.loop.create_future()
+        future.add_done_callback(lambda done: done.exception())
+        # An entry of a deposed leader may be committed all the same.
+        survives = self.rng.random() < 0.5
+
+        def commit():
+            if self.term != term and not survives:
+                future.set_exception(NotLeaderError("lost the lead"))
+                return
+            self.apply(decode_commands(encode_commands(list(commands))))
+            if not future.done():
+                future.set_result(None)
+
+        self.loop.call_later(COMMIT_SECONDS, commit)
+        return future
+
+    def apply(self, commands):
+        self.index += 1
+        touched = self.state.apply(self.index, commands)
+        for job_id in touched:
+            job = self.state.jobs.get(job_id)
+            for key, task in job.tasks.items() if job else ():
+                if task.is_done:
+                    self.done_at.setdefault(
+                        f"{job_id}.{key[0]}.{key[1]}.{key[2]}",
+                        self.loop.time(),
+                    )
+        if self.leader is not None:
+            self.leader.note_applied(touched)
+
+    def report(self, report):
+        if self.registry.note(report, self.loop.time()) and self.leader:
+            self.leader.note_report(report)
+
+    def restart_worker(self, name):
+        """Crash a worker, and let its next life report itself."""
+        self.advance(0.01)
+        self.call(self.report, self.call(self.network.add, name))
+
+    def submit(self, job, count=3, tenant="", **options):
+        spec = JobSpec("x", (Step(count, ONE, **options),))
+
+        async def accept():
+            self.apply([AcceptJob(job, "q", tenant, spec, self.loop.time())])
+
+        self.run(accept())
+
+    def cancel(self, job):
+        async def apply():
+            self.apply([CancelJob(job, self.loop.time())])
+
+        self.run(apply())
+
+    def call(self, function, *arguments):
+        async def run():
+            return function(*arguments)
+
+        return self.run(run())
+
+    def status(self, job):
+        return self.state.jobs[job].status
+
+    def check(self):
+        """No two runs of a task at a time, and none after its end is noted."""
+        by_task = {}
+        for begun in self.network.history:
+            by_task.setdefault(begun.task, []).append(begun)
+        for task, runs in by_task.items():
+            runs.sort(key=lambda begun: begun.begun_at)
+            for earlier, later in zip(runs, runs[1:], strict=False):
+                assert earlier.ended_at is not None, (earlier, later)
+                assert earlier.ended_at <= later.begun_at, (earlier, later)
+            if task in self.done_at:
+                assert runs[-1].begun_at <= self.done_at[task], runs
+
+    def all_completed(self):
+        return all(
+            job.status is not JobStatus.ACTIVE
+            for job in self.state.jobs.values()
+        )
--- /dev/null
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -0,0 +1,133 @@
+"""What the leader does with runs, workers and their lives."""
+
+import pytest
+
+from galenarill.coordinator.tests.simulation import Simulation
+from galenarill.jobs import Incarnation, JobStatus
+
+
+@pytest.fixture
+def make():
+    made = []
+
+    def build(*arguments, **options):
+        made.append(Simulation(*arguments, **options))
+        return made[-1]
+
+    yield build
+    for simulation in made:
+        simulation.close()
+
+
+def test_a_job_runs_to_its_end(make):
+    simulation = make()
+    simulation.submit("j", count=8)
+    simulation.advance(4)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    assert len(simulation.network.history) == 8
+    simulation.check()
+
+
+def test_tasks_of_one_step_and_plan_keep_apart(make):
+    simulation = make(seconds_of=lambda task, run: (99.0, "done"), workers=2)
+    simulation.submit("j", count=3, max_per_worker=1, lasts=True)
+    simulation.advance(2)
+    workers = [begun.worker for begun in simulation.network.history]
+    assert sorted(workers) == ["w0", "w1"]
+
+
+def test_a_tenant_stays_within_its_limit(make):
+    simulation = make(limit=2)
+    simulation.submit("j", count=6, tenant="t")
+    simulation.advance(0.5)
+    assert len(simulation.network.history) == 2
+    simulation.advance(6)
+    assert simulation.status("j") is JobStatus.COMPLETED
+
+
+def test_a_silent_workers_tasks_run_elsewhere_after_its_lease(make):
+    simulation = make(seconds_of=lambda task, run: (30.0, "done"), workers=2)
+    simulation.submit("j", count=1)
+    simulation.advance(1)
+    (first,) = simulation.network.history
+    simulation.network.cut.add(f"{first.worker}:1")
+    simulation.advance(8)
+    assert len(simulation.network.history) == 2
+    simulation.check()
+
+
+def test_a_later_life_ends_what_the_earlier_one_ran(make):
+    simulation = make(seconds_of=lambda task, run: (30.0, "done"), workers=1)
+    simulation.submit("j", count=1)
+    simulation.advance(1)
+    simulation.restart_worker("w0")
+    simulation.advance(1)
+    assert len(simulation.network.history) == 2
+    simulation.check()
+
+
+def test_a_failing_task_fails_its_job_after_its_attempts(make):
+    simulation = make(seconds_of=lambda task, run: (0.2, "failed"))
+    simulation.submit("j", count=1)
+    simulation.advance(4)
+    assert simulation.status("j") is JobStatus.FAILED
+    assert len(simulation.network.history) == 3
+
+
+def test_a_cancelled_jobs_runs_are_stopped(make):
+    simulation = make(seconds_of=lambda task, run: (30.0, "done"))
+    simulation.submit("j", count=3)
+    simulation.advance(1)
+    simulation.cancel("j")
+    simulation.advance(2)
+    assert [b.how for b in simulation.network.history] == ["stopped"] * 3
+    assert not simulation.leader.runs.by_name
+
+
+def test_a_takeover_keeps_what_runs(make):
+    simulation = make(seconds_of=lambda task, run: (5.0, "done"))
+    simulation.submit("j", count=4)
+    simulation.advance(1)
+    simulation.take_over()
+    simulation.advance(6)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    assert len(simulation.network.history) == 4
+
+
+def test_an_order_ends_only_the_life_that_it_was_given_to(make):
+    simulation = make(seconds_of=lambda task, run: (2.0, "done"), workers=1)
+    simulation.advance(0.5)
+    life = simulation.leader.life_of("w0")
+    simulation.restart_worker("w0")
+    simulation.submit("j", count=1)
+    simulation.advance(0.5)
+    # The answer to an upkeep arrives when the next life already works.
+    simulation.call(simulation.leader.end_worker, life, "maintained")
+    simulation.advance(4)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    assert len(simulation.network.history) == 1
+    assert simulation.leader.life_of("w0") != Incarnation("w0", life.born)
+
+
+def test_a_task_is_at_work_only_on_a_worker_that_answers(make):
+    simulation = make(seconds_of=lambda task, run: (99.0, "done"), workers=2)
+    simulation.submit("j", count=2, lasts=True, max_per_worker=1, may_miss=1)
+    simulation.advance(2)
+    place = ("j", 0, 0)
+    assert simulation.call(simulation.leader.lasting_steps)[place].away == 0
+    simulation.network.cut.add("w0:1")
+    simulation.advance(2.5)
+    assert simulation.call(simulation.leader.lasting_steps)[place].away == 1
+
+
+def test_a_worker_that_drains_gets_no_starts(make):
+    simulation = make(workers=1)
+    report = simulation.registry.workers["w0"].report
+    from galenarill.jobs import DrainWorker
+
+    simulation.call(
+        simulation.apply, [DrainWorker(report.worker, report.born)]
+    )
+    simulation.submit("j", count=1)
+    simulation.advance(2)
+    assert not simulation.network.history
--- /dev/null
+++ b/standins/virtual_time.py
@@ -0,0 +1,58 @@
+"""An event loop whose time jumps to the next timer instead of waiting."""
+
+import asyncio
+import selectors
+
+from galenarill.world import replaced_clocks
+
+__all__ = ["VirtualLoop", "run_virtually"]
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    def __init__(self):
+        super().__init__()
+        self.now = 1000.0
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("nothing is left that could happen")
+        self.now += max(timeout, 0)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop in virtual time, for simulations without I/O."""
+
+    def __init__(self):
+        """Make a loop at time 1000."""
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._jumping.now
+
+
+def run_virtually(make_coroutine):
+    """Run a coroutine in virtual time.
+
+    Args:
+        make_coroutine: Function that returns the coroutine.
+
+    Returns:
+        Its result.
+
+    Example:
+        >>> async def wait_an_hour():
+        ...     start = asyncio.get_running_loop().time()
+        ...     await asyncio.sleep(3600)
+        ...     return round(asyncio.get_running_loop().time() - start)
+        >>> run_virtually(wait_an_hour)
+        3600
+    """
+    loop = VirtualLoop()
+    try:
+        with replaced_clocks(loop.time):
+            return loop.run_until_complete(make_coroutine())
+    finally:
+        loop.close()
--- /dev/null
+++ b/standins/workers.py
@@ -0,0 +1,298 @@
+"""Stand-in for workers that run tasks, after the platform's protocol."""
+
+import asyncio
+import dataclasses
+import random
+
+from galenarill.routing import Resources
+from galenarill.workers import (
+    EndedRow,
+    OrderAnswer,
+    RunningRow,
+    StartOrder,
+    Verdict,
+    WorkerClient,
+    WorkerLists,
+    WorkerReport,
+)
+
+__all__ = ["StandinWorker", "StandinWorkers", "Begun"]
+
+MAX_LEASE_SECONDS = 6.0
+STOP_SECONDS = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class Begun:
+    """A run that a worker began, as an observer sees it.
+
+    Attributes:
+        task: Name of the task.
+        run: Number of the run.
+        worker: Worker.
+        begun_at: When it began.
+        ended_at: When it ended, or None.
+        how: How it ended, or "".
+    """
+
+    task: str
+    run: int
+    worker: str
+    begun_at: float
+    ended_at: float | None = None
+    how: str = ""
+
+
+class StandinWorker:
+    """One life of a worker."""
+
+    def __init__(
+        self, report: WorkerReport, seconds_of, history: list[Begun], rate: float
+    ):
+        """Make a worker that runs nothing.
+
+        Args:
+            report: What it reports.
+            seconds_of: Tells how long a task takes, and how it ends.
+            history: Runs begun on any worker, to be added to.
+            rate: Rate of its clock.
+        """
+        self.report = report
+        self.is_alive = True
+        self._seconds_of = seconds_of
+        self._history = history
+        self._rate = rate
+        self._loop = asyncio.get_running_loop()
+        self._born_at = self._loop.time()
+        self._until_ms = 0.0
+        self._token = 0
+        self._running: dict[str, tuple[Begun, asyncio.TimerHandle]] = {}
+        self._barred: dict[str, int] = {}
+        self._ended: list[EndedRow] = []
+        self._count = 0
+        self._has_ended = asyncio.Event()
+        self._lease: asyncio.TimerHandle | None = None
+
+    @property
+    def clock_ms(self) -> float:
+        """Its steady clock."""
+        return (self._loop.time() - self._born_at) * 1000 * self._rate
+
+    @property
+    def used(self) -> Resources:
+        """What is running, in tasks of one thousandth of a core each."""
+        return Resources(len(self._running))
+
+    def die(self) -> None:
+        """Crash: everything that runs ends, and nothing is listed."""
+        self.is_alive = False
+        for begun, timer in self._running.values():
+            timer.cancel()
+            begun.ended_at, begun.how = self._loop.time(), "crashed"
+        self._running.clear()
+
+    def start(self, order: StartOrder) -> Verdict:
+        """Carry out an order to start."""
+        if order.token < self._token:
+            return Verdict.FENCED
+        self._token = order.token
+        present = self._running.get(order.task)
+        if present is not None and present[0].run == order.run:
+            self._extend(order.until_ms)
+            return Verdict.DONE
+        if order.run <= self._barred.get(order.task, 0):
+            self._extend(order.until_ms)
+            return Verdict.OLD
+        if order.until_ms <= self.clock_ms:
+            return Verdict.LATE
+        self._extend(order.until_ms)
+        if present is not None or (
+            len(self._running) >= self.report.capacity.cpu
+        ):
+            return Verdict.NO_ROOM
+        begun = Begun(
+            order.task, order.run, self.report.worker, self._loop.time()
+        )
+        self._history.append(begun)
+        seconds, how = self._seconds_of(order.task, order.run)
+        timer = self._loop.call_later(seconds, self._end, order.task, how)
+        self._running[order.task] = (begun, timer)
+        return Verdict.DONE
+
+    def stop(self, task: str, run: int, token: int) -> Verdict:
+        """Carry out an order to stop."""
+        if token < self._token:
+            return Verdict.FENCED
+        self._token = token
+        self._barred[task] = max(self._barred.get(task, 0), run)
+        present = self._running.get(task)
+        if present is not None and present[0].run <= run:
+            present[1].cancel()
+            timer = self._loop.call_later(
+                STOP_SECONDS, self._end, task, "stopped"
+            )
+            self._running[task] = (present[0], timer)
+        return Verdict.DONE
+
+    async def hold(
+        self, token: int, noted_end: int, until_ms: int | None, wait_ms: int
+    ) -> tuple[Verdict, WorkerLists | None]:
+        """Carry out a renewal."""
+        if token < self._token:
+            return Verdict.FENCED, None
+        self._token = token
+        if until_ms is not None:
+            self._extend(until_ms)
+        self._ended = [row for row in self._ended if row.number > noted_end]
+        if not self._ended and wait_ms:
+            self._has_ended.clear()
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await self._has_ended.wait()
+            except TimeoutError:
+                pass
+        running = tuple(
+            RunningRow(task, begun.run, "", 100.0, 0.0)
+            for task, (begun, _) in self._running.items()
+        )
+        return Verdict.DONE, WorkerLists(
+            self.clock_ms, self.report.born, running, tuple(self._ended)
+        )
+
+    def _extend(self, until_ms: float) -> None:
+        until_ms = min(until_ms, self.clock_ms + MAX_LEASE_SECONDS * 1000)
+        if until_ms <= self._until_ms:
+            return
+        self._until_ms = until_ms
+        if self._lease is not None:
+            self._lease.cancel()
+        left = (until_ms - self.clock_ms) / 1000 / self._rate
+        self._lease = self._loop.call_later(max(left, 0), self._lapse)
+
+    def _lapse(self) -> None:
+        for task in list(self._running):
+            self._running[task][1].cancel()
+            self._end(task, "lapsed")
+
+    def _end(self, task: str, how: str) -> None:
+        if task not in self._running:
+            return
+        begun, _ = self._running.pop(task)
+        begun.ended_at, begun.how = self._loop.time(), how
+        self._barred[task] = max(self._barred.get(task, 0), begun.run)
+        self._count += 1
+        self._ended.append(EndedRow(self._count, task, begun.run, how, ""))
+        self._has_ended.set()
+
+
+class StandinWorkers(WorkerClient):
+    """Workers behind a network that loses and delays orders.
+
+    Attributes:
+        workers: Present life of each worker, by address.
+        history: Every run that was begun.
+        cut: Addresses that cannot be reached.
+        loss: Share of answers that are lost.
+        lateness: Share of orders that get no answer and are carried out late.
+    """
+
+    def __init__(self, seed: int = 0, seconds_of=None):
+        """Make a network without workers."""
+        self.workers: dict[str, StandinWorker] = {}
+        self.history: list[Begun] = []
+        self.cut: set[str] = set()
+        self.loss = 0.0
+        self.lateness = 0.0
+        self._rng = random.Random(seed)
+        self._seconds_of = seconds_of or (lambda task, run: (1.0, "done"))
+        self._loop = asyncio.get_running_loop()
+        self._late: set[asyncio.Task] = set()
+
+    def add(
+        self,
+        name: str,
+        pool: str = "pool",
+        room: int = 4,
+        machine: str = "",
+        address: str = "",
+    ) -> WorkerReport:
+        """Start a life of a worker, in place of any at its address."""
+        address = address or f"{name}:1"
+        if address in self.workers:
+            self.workers[address].die()
+        report = WorkerReport(
+            name,
+            int(self._loop.time() * 1000),
+            1,
+            pool,
+            machine,
+            address,
+            "a",
+            "r1",
+            ("a", "r1"),
+            Resources(room, 1000, 0),
+        )
+        rate = self._rng.choice([1.0, 0.98])
+        self.workers[address] = StandinWorker(
+            report, self._seconds_of, self.history, rate
+        )
+        return report
+
+    async def renew(self, worker, token, noted_end, until_ms, wait_ms):
+        """Renew a worker's lease and read its lists."""
+        return await self._deliver(
+            worker,
+            lambda life: life.hold(token, noted_end, until_ms, wait_ms),
+            wait_ms / 1000,
+        )
+
+    async def start(self, worker, order):
+        """Start a run."""
+
+        async def carry_out(life):
+            return life.start(order), None
+
+        return await self._deliver(worker, carry_out)
+
+    async def stop(self, worker, task, run, token):
+        """Stop a run, and bar it if it has not begun."""
+
+        async def carry_out(life):
+            return life.stop(task, run, token), None
+
+        return await self._deliver(worker, carry_out)
+
+    async def pace(self, worker, task, run, percent, token):
+        """Let a run work at a share of its full speed."""
+        return OrderAnswer(Verdict.DONE)
+
+    async def _deliver(self, worker, carry_out, wait: float = 0.0):
+        await asyncio.sleep(self._rng.uniform(0.001, 0.02))
+        life = self.workers.get(worker.address)
+        if worker.address in self.cut or life is None or not life.is_alive:
+            await asyncio.sleep(0.7)
+            return OrderAnswer(Verdict.NO_ANSWER)
+        if life.report.worker != worker.worker:
+            return OrderAnswer(Verdict.OTHER_LIFE)
+        if self._rng.random() < self.lateness:
+            self._carry_out_late(life, carry_out)
+            await asyncio.sleep(0.7)
+            return OrderAnswer(Verdict.NO_ANSWER)
+        verdict, lists = await carry_out(life)
+        clock_ms = life.clock_ms
+        await asyncio.sleep(self._rng.uniform(0.001, 0.02))
+        is_lost = self._rng.random() < self.loss
+        if is_lost or worker.address in self.cut or not life.is_alive:
+            await asyncio.sleep(0.7)
+            return OrderAnswer(Verdict.NO_ANSWER)
+        return OrderAnswer(verdict, clock_ms, lists)
+
+    def _carry_out_late(self, life: StandinWorker, carry_out) -> None:
+        async def run():
+            await asyncio.sleep(self._rng.uniform(1, 8))
+            if life.is_alive:
+                await carry_out(life)
+
+        task = asyncio.create_task(run())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
