--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -1,9 +1,12 @@
 """What the leader does with runs, workers and their lives."""
 
+import asyncio
+
 import pytest
 
 from galenarill.coordinator.tests.simulation import Simulation
-from galenarill.jobs import Incarnation, JobStatus
+from galenarill.jobs import DrainWorker, Incarnation, JobStatus
+from galenarill.workers import OrderAnswer, Verdict
 
 
 @pytest.fixture
@@ -123,11 +126,35 @@
 def test_a_worker_that_drains_gets_no_starts(make):
     simulation = make(workers=1)
     report = simulation.registry.workers["w0"].report
-    from galenarill.jobs import DrainWorker
-
     simulation.call(
         simulation.apply, [DrainWorker(report.worker, report.born)]
     )
     simulation.submit("j", count=1)
     simulation.advance(2)
     assert not simulation.network.history
+
+
+def test_a_refusal_after_an_unanswered_start_is_no_proof(make):
+    simulation = make(seconds_of=lambda task, run: (1.0, "done"), workers=2)
+    network = simulation.network
+    real = network.start
+    starts = []
+
+    async def start(worker, order):
+        starts.append(order)
+        if len(starts) == 1:
+            # Carried out only after the next order was refused.
+            simulation.loop.call_later(
+                0.9, network.workers[worker.address].start, order
+            )
+            await asyncio.sleep(0.7)
+            return OrderAnswer(Verdict.NO_ANSWER)
+        if len(starts) == 2:
+            return OrderAnswer(Verdict.NO_ROOM)
+        return await real(worker, order)
+
+    network.start = start
+    simulation.submit("j", count=1)
+    simulation.advance(8)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    simulation.check()
