--- a/galenarill/consensus/replica.py
+++ b/galenarill/consensus/replica.py
@@ -23,18 +23,19 @@
     "Replica",
     "Role",
     "Ready",
-    "HEARTBEAT_SECONDS",
     "ELECTION_SECONDS",
     "encode_configuration",
 ]
 
-HEARTBEAT_SECONDS = 0.25
+# Period of heartbeats, as a share of the election timeout.
+HEARTBEAT_SHARE = 0.25
 # Replicas that do not vote hear of an idle leader this often.
 OBSERVER_HEARTBEAT_SECONDS = 1.0
 # Shortest silence of the leader after which a replica stands for election.
 ELECTION_SECONDS = 1.0
-# Allowance for clocks that run at different rates.
-CLOCK_MARGIN_SECONDS = 0.1
+# Allowance for clocks that run at different rates, as a share of the election
+# timeout.
+CLOCK_MARGIN_SHARE = 0.1
 MAX_APPEND_ENTRIES = 64
 # A learner votes once it is at most this many entries behind.
 PROMOTION_LAG_ENTRIES = 8
@@ -96,7 +97,7 @@
     """Leader election and replication, after Raft.
 
     Pre-votes keep a replica that was cut off from disturbing the others. A
-    leader that has not heard from a majority for `ELECTION_SECONDS` steps
+    leader that has not heard from a majority for the election timeout steps
     down, and followers refuse votes for as long after they heard from it, so a
     confirmed leader is the only one. A voter counts only with the disk that
     the configuration names; one that comes back with another disk becomes a
@@ -126,6 +127,7 @@
         snapshot: Snapshot | None = None,
         entries: list[Entry] | None = None,
         target_voters: int = 0,
+        election_seconds: float = ELECTION_SECONDS,
     ):
         """Make a replica.
 
@@ -141,7 +143,12 @@
             entries: What the disk holds.
             target_voters: Voters wanted where replicas with a disk join
                 later, or 0 where the voters never change.
+            election_seconds: Shortest silence of the leader after which this
+                replica stands for election; the same on every replica.
         """
+        self._election_seconds = election_seconds
+        self._heartbeat_seconds = election_seconds * HEARTBEAT_SHARE
+        self._margin_seconds = election_seconds * CLOCK_MARGIN_SHARE
         self._vm = vm
         self._target_voters = target_voters
         self._peers = peers
@@ -172,7 +179,7 @@
         self._blank_disks: dict[VmId, str] = {}
         self._ready = Ready()
         # A voter may have promised its vote just before it restarted.
-        self._vote_deadline = now + ELECTION_SECONDS
+        self._vote_deadline = now + self._election_seconds
         self._reset_election(now)
 
     @property
@@ -230,7 +237,7 @@
         """Tell whether this replica surely is the only leader."""
         if self._role is not Role.LEADER:
             return False
-        limit = now - ELECTION_SECONDS + CLOCK_MARGIN_SECONDS
+        limit = now - self._election_seconds + self._margin_seconds
         return self._quorum(self._confirmations(), limit)
 
     def is_current(self) -> bool:
@@ -253,7 +260,7 @@
         """Tell whether a leader was heard from within the election timeout."""
         if self._role is Role.LEADER:
             return self.is_confirmed(now)
-        return now < self._leader_heard_at + 2 * ELECTION_SECONDS
+        return now < self._leader_heard_at + 2 * self._election_seconds
 
     def add_peer(self, peer: VmId) -> None:
         """Take in a replica that was not known at the start."""
@@ -355,7 +362,9 @@
             self._ready.hard_state = state
 
     def _reset_election(self, now: float) -> None:
-        wait = self._rng.uniform(ELECTION_SECONDS, 2 * ELECTION_SECONDS)
+        wait = self._rng.uniform(
+            self._election_seconds, 2 * self._election_seconds
+        )
         self._election_deadline = now + wait
 
     def _quorum(self, times: dict[VmId, float], limit: float) -> bool:
@@ -452,7 +461,7 @@
     def _receive_vote_request(
         self, sender: VmId, message: messages.VoteRequest, now: float
     ) -> None:
-        heard_lately = now < self._leader_heard_at + ELECTION_SECONDS
+        heard_lately = now < self._leader_heard_at + self._election_seconds
         if heard_lately or now < self._vote_deadline:
             granted = False
         elif self._role is Role.LEADER and self.is_confirmed(now):
@@ -540,8 +549,8 @@
         self._ready.entries = pending + entries
 
     def _tick_leader(self, now: float) -> None:
-        limit = now - 2 * ELECTION_SECONDS
-        if now > self._term_started_at + 2 * ELECTION_SECONDS and not (
+        limit = now - 2 * self._election_seconds
+        if now > self._term_started_at + 2 * self._election_seconds and not (
             self._quorum(self._confirmations(), limit)
         ):
             self._become_follower(self.term, None, now)
@@ -556,7 +565,9 @@
                 or peer in self.configuration.learners
             )
             progress.heartbeat_deadline = now + (
-                HEARTBEAT_SECONDS if is_member else OBSERVER_HEARTBEAT_SECONDS
+                self._heartbeat_seconds
+                if is_member
+                else OBSERVER_HEARTBEAT_SECONDS
             )
             self._send_append(peer, progress, now)
         self._adjust_configuration(now)
@@ -709,7 +720,7 @@
                 progress.match_index = message.index
         if progress.match_index < self._log.last_index:
             progress.heartbeat_deadline = min(
-                progress.heartbeat_deadline, now + HEARTBEAT_SECONDS
+                progress.heartbeat_deadline, now + self._heartbeat_seconds
             )
 
     def _advance_commit(self, now: float) -> None:
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -41,6 +41,9 @@
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.05
+# Shortest silence of a leader that calls an election, in seconds: many times a
+# sync of the slowest disk and a round trip between zones.
+ELECTION_SECONDS = 0.6
 PRESENCE_SECONDS = 0.3
 # Silence after which a link counts as half-open, in seconds: five times the
 # period of `Presence`.
@@ -134,6 +137,7 @@
             contents,
             steady_now(),
             target_voters=2 * settings.replaceable_voters + 1,
+            election_seconds=ELECTION_SECONDS,
         )
         if contents.snapshot is not None:
             self._state.restore(contents.snapshot.data, contents.snapshot.index)
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -1,6 +1,7 @@
 """A leader, its log and its workers in virtual time."""
 
 import asyncio
+import itertools
 import random
 
 from galenarill.coordinator.leader import Leader
@@ -174,7 +175,7 @@
             by_task.setdefault(begun.task, []).append(begun)
         for task, runs in by_task.items():
             runs.sort(key=lambda begun: begun.begun_at)
-            for earlier, later in zip(runs, runs[1:], strict=False):
+            for earlier, later in itertools.pairwise(runs):
                 assert earlier.ended_at is not None, (earlier, later)
                 assert earlier.ended_at <= later.begun_at, (earlier, later)
             if task in self.done_at:
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -126,9 +126,7 @@
 def test_a_worker_that_drains_gets_no_starts(make):
     simulation = make(workers=1)
     report = simulation.registry.workers["w0"].report
-    simulation.call(
-        simulation.apply, [DrainWorker(report.worker, report.born)]
-    )
+    simulation.call(simulation.apply, [DrainWorker(report.worker, report.born)])
     simulation.submit("j", count=1)
     simulation.advance(2)
     assert not simulation.network.history
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -47,7 +47,11 @@
     """One life of a worker."""
 
     def __init__(
-        self, report: WorkerReport, seconds_of, history: list[Begun], rate: float
+        self,
+        report: WorkerReport,
+        seconds_of,
+        history: list[Begun],
+        rate: float,
     ):
         """Make a worker that runs nothing.
 
