End a worker's life only by the first answer to an order on its machine

Change: only the answer to a first try, by the leader that chose the machine, ends the life known before; otherwise reports and leases decide. Test: test_a_repeated_upkeep_does_not_end_the_worker_that_followed, red before.

--- a/galenarill/coordinator/machines.py
+++ b/galenarill/coordinator/machines.py
@@ -292,7 +292,7 @@
             if worker and not self._leader.is_idle(worker):
                 self._moving.pop(machine.id, None)
                 return
-            verdict = await self._order(
+            verdict, is_first = await self._order(
                 machine,
                 lambda token: self._client.move(
                     machine.id, pool, self._holder, token
@@ -310,7 +310,8 @@
                 },
             )
             if verdict is MachineVerdict.DONE:
-                self._leader.end_worker(life, "its machine was moved")
+                if is_first:
+                    self._leader.end_worker(life, "its machine was moved")
                 return
             self._moving.pop(machine.id, None)
             if verdict is MachineVerdict.INVALID:
@@ -319,11 +320,21 @@
             if worker:
                 self._leader.uncordon(worker)
 
-    async def _order(self, machine: Machine, call) -> MachineVerdict:
-        """Give an order, again while it has no answer."""
+    async def _order(
+        self, machine: Machine, call
+    ) -> tuple[MachineVerdict, bool]:
+        """Give an order, again while it has no answer.
+
+        Returns:
+            What became of it, and whether that is the answer to the first
+            try: the answer to a later one may be about the first, which was
+            carried out before the machine's next worker began.
+        """
+        tries = 0
         while True:
             if not self._may_order():
-                return MachineVerdict.BUSY
+                return MachineVerdict.BUSY, False
+            tries += 1
             self._orders += 1
             token = self._leader.term * ORDERS_PER_TERM + self._orders
             verdict = await call(token)
@@ -340,7 +351,7 @@
                 continue
             if verdict is not MachineVerdict.DONE:
                 self._busy_until[machine.id] = steady_now() + BUSY_SECONDS
-            return verdict
+            return verdict, tries == 1
 
     # Upkeep.
 
@@ -443,12 +454,21 @@
         """Order again what an earlier leader may have ordered."""
         if machine.id not in self._emptying:
             self._emptying[machine.id] = wall_now()
-            self._spawn(self._maintain(number, machine))
+            self._spawn(self._maintain(number, machine, is_repeated=True))
+
+    async def _maintain(
+        self, number: int, machine: Machine, *, is_repeated: bool = False
+    ) -> None:
+        """Order a machine's upkeep.
 
-    async def _maintain(self, number: int, machine: Machine) -> None:
-        # A later life may be back before the order is answered.
+        Args:
+            number: Number of the wave.
+            machine: Machine.
+            is_repeated: Whether an earlier leader may have ordered it, so that
+                its present worker may have begun after the upkeep.
+        """
         life = self._leader.life_of(machine.worker)
-        verdict = await self._order(
+        verdict, is_first = await self._order(
             machine,
             lambda token: self._client.maintain(
                 machine.id, number, self._holder, token
@@ -469,7 +489,8 @@
             self._leader.uncordon(machine.worker)
         if verdict is MachineVerdict.DONE:
             self._acknowledged[machine.id] = steady_now()
-            self._leader.end_worker(life, "its machine is maintained")
+            if is_first and not is_repeated:
+                self._leader.end_worker(life, "its machine is maintained")
         elif verdict is MachineVerdict.NOT_OF_WAVE:
             self._finish(number, machine.id, "the platform disowns it")
 
--- /dev/null
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -0,0 +1,216 @@
+"""Moves and upkeep that the leader orders."""
+
+import asyncio
+
+import pytest
+
+from galenarill.coordinator.machines import MachineKeeper
+from galenarill.coordinator.tests.simulation import Simulation
+from galenarill.jobs import JobStatus, OrderUpkeep, StartWave
+from galenarill.pools import (
+    Machine,
+    MachineClient,
+    MachineState,
+    MachineVerdict,
+)
+from galenarill.routing import Resources
+
+
+class Machines(MachineClient):
+    """Machines that move and are maintained at once, and are down a while."""
+
+    def __init__(self, simulation, pools, down_seconds=2.0):
+        self.simulation = simulation
+        self.machines = {}
+        self.orders = []
+        self.maintained = set()
+        self.most_down = 0
+        self.answers = []
+        self.down_seconds = down_seconds
+        for name, pool in pools.items():
+            worker = "" if pool == "spare" else f"{name}-worker"
+            self.set(name, pool, MachineState.UP, worker)
+
+    def set(self, name, pool, state, worker):
+        self.machines[name] = Machine(
+            name, pool, state, "r1", "a", Resources(4, 1000), worker
+        )
+
+    async def list(self):
+        await asyncio.sleep(0.01)
+        return list(self.machines.values())
+
+    async def move(self, machine, pool, holder, token):
+        self.orders.append(("move", machine, pool, token))
+        return await self.carry_out(machine, pool, MachineState.MOVING)
+
+    async def maintain(self, machine, wave, holder, token):
+        self.orders.append(("maintain", machine, wave, token))
+        if machine in self.maintained:
+            return MachineVerdict.DONE
+        self.maintained.add(machine)
+        pool = self.machines[machine].pool
+        return await self.carry_out(machine, pool, MachineState.UPKEEP)
+
+    async def carry_out(self, machine, pool, state):
+        network = self.simulation.network
+        life = network.workers.get(f"{self.machines[machine].worker}:1")
+        if life is not None:
+            life.die()
+        self.set(machine, pool, state, "")
+        down = [
+            m for m in self.machines.values() if m.state is MachineState.UPKEEP
+        ]
+        self.most_down = max(self.most_down, len(down))
+        asyncio.get_running_loop().call_later(
+            self.down_seconds, self.come_back, machine, pool
+        )
+        await asyncio.sleep(0.01)
+        return self.answers.pop(0) if self.answers else MachineVerdict.DONE
+
+    def come_back(self, machine, pool):
+        worker = "" if pool == "spare" else f"{machine}-worker"
+        self.set(machine, pool, MachineState.UP, worker)
+        if worker:
+            self.simulation.report(
+                self.simulation.network.add(worker, pool, machine=machine)
+            )
+
+
+@pytest.fixture
+def make():
+    made = []
+
+    def build(pools, **options):
+        simulation = Simulation(workers=0, **options)
+        made.append(simulation)
+        machines = Machines(simulation, pools)
+
+        async def start():
+            for machine in machines.machines.values():
+                if machine.worker:
+                    simulation.report(
+                        simulation.network.add(
+                            machine.worker, machine.pool, machine=machine.id
+                        )
+                    )
+            keep(simulation, machines)
+
+        simulation.run(start())
+        return simulation, machines
+
+    yield build
+    for simulation in made:
+        simulation.close()
+
+
+def keep(simulation, machines):
+    term = simulation.term
+    keeper = MachineKeeper(
+        simulation.leader,
+        simulation.state,
+        machines,
+        lambda *commands: simulation.propose(term, *commands),
+        lambda: simulation.term == term,
+        f"c{term}",
+        3.0,
+    )
+    simulation.keeper = asyncio.ensure_future(keeper.run())
+
+
+def start_wave(simulation, machines, at_once, seconds=60.0):
+    simulation.call(
+        simulation.apply,
+        [
+            StartWave(
+                1, tuple(machines), at_once, simulation.loop.time() + seconds
+            )
+        ],
+    )
+
+
+def test_machines_come_from_the_spare_pool_when_tasks_wait(make):
+    pools = {f"m{n}": "spare" for n in range(6)} | {"n0": "pool", "n1": "pool"}
+    simulation, machines = make(pools, seconds_of=lambda *_: (4.0, "done"))
+    simulation.submit("j", count=16)
+    simulation.advance(12)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    assert any(order[2] == "pool" for order in machines.orders)
+    simulation.advance(10)
+    pools = [machine.pool for machine in machines.machines.values()]
+    assert pools.count("pool") == 3, "idle machines stay in the pool"
+
+
+def test_tokens_rise_with_each_order(make):
+    pools = {f"m{n}": "spare" for n in range(6)} | {"n0": "pool"}
+    simulation, machines = make(pools, seconds_of=lambda *_: (4.0, "done"))
+    simulation.submit("j", count=16)
+    simulation.advance(12)
+    tokens = [order[3] for order in machines.orders]
+    assert tokens == sorted(set(tokens))
+
+
+def test_a_wave_is_done_within_its_limit(make):
+    pools = {f"n{n}": "pool" for n in range(4)} | {"m0": "spare"}
+    simulation, machines = make(pools)
+    start_wave(simulation, pools, at_once=2)
+    simulation.advance(30)
+    assert simulation.state.waves[1].is_completed
+    assert machines.maintained == set(pools)
+    assert machines.most_down <= 2
+
+
+def test_a_step_never_misses_more_than_it_may(make):
+    pools = {f"n{n}": "pool" for n in range(4)}
+    simulation, _ = make(pools, seconds_of=lambda *_: (999.0, "done"))
+    simulation.submit("j", count=6, lasts=True, max_per_worker=2, may_miss=1)
+    simulation.advance(2)
+    start_wave(simulation, pools, at_once=4)
+    for _ in range(300):
+        simulation.advance(0.2)
+        away = [
+            presence.away
+            for presence in simulation.call(
+                simulation.leader.lasting_steps
+            ).values()
+        ]
+        assert max(away) <= 1
+    assert simulation.state.waves[1].is_completed
+    simulation.check()
+
+
+def test_a_repeated_upkeep_does_not_end_the_worker_that_followed(make):
+    pools = {f"n{n}": "pool" for n in range(2)}
+    simulation, machines = make(pools, seconds_of=lambda *_: (8.0, "done"))
+    start_wave(simulation, ["n0"], at_once=1)
+    # The leader before ordered it, and it was carried out; then it was lost.
+    machines.maintained.add("n0")
+    simulation.call(simulation.apply, [OrderUpkeep(1, "n0", 0.0)])
+    simulation.submit("j", count=8)
+    simulation.take_over()
+    simulation.run(_restart(simulation, machines))
+    simulation.advance(20)
+    assert ("maintain", "n0", 1) in [order[:3] for order in machines.orders]
+    assert simulation.status("j") is JobStatus.COMPLETED
+    assert len(simulation.network.history) == 8
+    assert simulation.state.waves[1].is_completed
+    simulation.check()
+
+
+async def _restart(simulation, machines):
+    simulation.keeper.cancel()
+    keep(simulation, machines)
+
+
+def test_a_new_leader_waits_until_the_lease_on_machines_has_ended(make):
+    pools = {f"m{n}": "spare" for n in range(3)} | {"n0": "pool"}
+    simulation, machines = make(pools, seconds_of=lambda *_: (3.0, "done"))
+    simulation.submit("j", count=9)
+    simulation.advance(2)
+    assert machines.orders
+    simulation.take_over()
+    simulation.run(_restart(simulation, machines))
+    simulation.submit("k", count=9)
+    before = len(machines.orders)
+    simulation.advance(2.9)
+    assert len(machines.orders) == before
