Quarantine workers that fail or stall what others finish

Change: the latest ends of each worker are compared by distinct jobs; a run whose progress stands still for 2 s is moved. Tests: quarantine, a hopeless job, a run that stands still.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -37,9 +37,12 @@
 from galenarill.workers import (
     Contact,
     OrderAnswer,
+    Progress,
+    RunningRow,
     StartOrder,
     Verdict,
     WorkerClient,
+    WorkerHealth,
     WorkerLists,
     WorkerRegistry,
     WorkerReport,
@@ -67,6 +70,9 @@
 # From the decision to move a machine until its worker takes starts, in
 # seconds; the platform's move takes most of it.
 ARRIVAL_SECONDS = 2.0
+# A run whose progress stands still for this long is moved, in seconds: longer
+# than a renewal, a restore and the start of a task take together.
+STALL_SECONDS = 2.0
 # A worker that has left may still be ending what it ran, in seconds.
 LEFT_SECONDS = 0.3
 
@@ -121,6 +127,7 @@
         self._failed_on: dict[tuple[JobId, TaskKey], set[WorkerId]] = {}
         self._ending: set[tuple[str, int, int]] = set()
         self._cordoned: set[WorkerId] = set()
+        self._health = WorkerHealth()
         # Ready tasks that the latest placement left over, by pool.
         self._unplaced: dict[PoolId, list[Step]] = {}
 
@@ -463,7 +470,9 @@
             free = report.capacity.minus(
                 self._runs.reserved.get(worker, Resources())
             ).minus(proposed.get(worker, Resources()))
-            rooms.setdefault(report.pool, []).append(Room(report, free))
+            rooms.setdefault(report.pool, []).append(
+                Room(report, free, self._health.is_quarantined(worker, now))
+            )
         return rooms
 
     def _takes_starts(self, contact: Contact, now: float) -> bool:
@@ -669,6 +678,7 @@
                 self._spawn(self._stop_orphan(contact, row.task, row.run))
                 continue
             run.row = row
+            self._note_progress(run, row)
             if run.phase is Phase.INHERITED:
                 run.phase, run.since = Phase.RUNNING, steady_now()
                 if not self._is_wanted(run):
@@ -682,6 +692,42 @@
             last = max(row.number for row in lists.ended)
             contact.noted_end = max(contact.noted_end, last)
 
+    def _note_progress(self, run: TrackedRun, row: RunningRow) -> None:
+        """Move a run that stands still to another worker."""
+        now = steady_now()
+        if run.progress is None:
+            run.progress = Progress(row.percent, now, now)
+        run.progress.note(row.percent, now)
+        if run.phase is not Phase.RUNNING or run.step.is_gang:
+            return
+        if run.step.lasts and row.percent >= 100:
+            run.progress.moved_at = now
+        if run.progress.stalled_seconds() < STALL_SECONDS:
+            return
+        logger.info(
+            "run stands still",
+            extra={
+                "job": run.job,
+                "task": run.name,
+                "run": run.number,
+                "worker": run.incarnation.worker,
+                "percent": row.percent,
+                "seconds": round(run.progress.stalled_seconds(), 3),
+            },
+        )
+        self._note_bad(run)
+        self._stop_soon(run)
+
+    def _note_bad(self, run: TrackedRun) -> None:
+        """Take in that a run has failed or stalled where it was placed."""
+        worker = run.incarnation.worker
+        self._failed_on.setdefault((run.job, run.key), set()).add(worker)
+        if self._health.note_bad(worker, run.job, steady_now()):
+            logger.warning(
+                "worker quarantined",
+                extra={"worker": worker, "job": run.job, "task": run.name},
+            )
+
     def _check_unlisted(
         self, contact: Contact, listed: set, sent_at: float
     ) -> None:
@@ -718,6 +764,7 @@
         )
         if self._contacts.get(report.worker) is contact:
             del self._contacts[report.worker]
+            self._health.forget(report.worker)
         renewal = self._renewals.pop(report.worker, None)
         if renewal is not None and renewal is not asyncio.current_task():
             renewal.cancel()
@@ -752,10 +799,10 @@
         self._ending.add(place)
         if not checkpoint and run.row is not None and how is not End.DONE:
             checkpoint = run.row.checkpoint
-        if how in (End.FAILED, End.REJECTED):
-            self._failed_on.setdefault((run.job, run.key), set()).add(
-                run.incarnation.worker
-            )
+        if how is End.FAILED:
+            self._note_bad(run)
+        elif how is End.DONE:
+            self._health.note_done(run.incarnation.worker)
         logger.info(
             "run ended",
             extra={
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -13,7 +13,7 @@
     task_name,
 )
 from galenarill.routing import Resources
-from galenarill.workers import RunningRow
+from galenarill.workers import Progress, RunningRow
 from galenarill.world import JobId, TeamId, WorkerId
 
 __all__ = ["Phase", "TrackedRun", "RunIndex", "ready_tasks"]
@@ -49,6 +49,7 @@
         row: Latest row in the worker's list, or None.
         was_unanswered: Whether an order to start it got no answer.
         begun_at: When it was ordered, on the steady clock.
+        progress: How it advances, or None before the first reading.
     """
 
     job: JobId
@@ -64,6 +65,7 @@
     row: RunningRow | None = None
     was_unanswered: bool = False
     begun_at: float = 0.0
+    progress: Progress | None = None
 
 
 class RunIndex:
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -156,3 +156,42 @@
     simulation.advance(8)
     assert simulation.status("j") is JobStatus.COMPLETED
     simulation.check()
+
+
+def test_a_run_that_stands_still_is_moved(make):
+    simulation = make(seconds_of=lambda task, run: (1.0, "done"), workers=2)
+    simulation.network.workers["w0:1"].stands_still = True
+    simulation.submit("j", count=8)
+    simulation.advance(7)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    simulation.check()
+
+
+def test_a_worker_that_fails_what_others_finish_is_quarantined(make):
+    simulation = make(workers=2)
+    simulation.network.workers["w0:1"]._seconds_of = lambda *_: (0.1, "failed")
+    for number in range(6):
+        simulation.submit(f"j{number}", count=1)
+        simulation.advance(0.3)
+    simulation.advance(4)
+    failed = [b for b in simulation.network.history if b.how == "failed"]
+    assert 2 <= len(failed) <= 3
+    statuses = [job.status for job in simulation.state.jobs.values()]
+    assert set(statuses) == {JobStatus.COMPLETED}
+
+
+def test_a_hopeless_job_puts_no_worker_in_quarantine(make):
+    simulation = make(
+        seconds_of=lambda task, run: (
+            0.2,
+            "failed" if task.startswith("bad") else "done",
+        ),
+        workers=2,
+    )
+    simulation.submit("bad", count=4)
+    simulation.advance(3)
+    assert simulation.status("bad") is JobStatus.FAILED
+    simulation.submit("j", count=8)
+    simulation.advance(1)
+    workers = {b.worker for b in simulation.network.history if b.how == "done"}
+    assert workers == {"w0", "w1"}
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -43,12 +43,13 @@
     Attributes:
         report: Worker.
         free: Capacity that is left.
-        is_last_choice: Whether others go before it.
+        is_suspect: Whether it fails or stalls tasks: it gets none while
+            another worker of its pool takes starts.
     """
 
     report: WorkerReport
     free: Resources
-    is_last_choice: bool = False
+    is_suspect: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,6 +109,7 @@
     Returns:
         The placements.
     """
+    rooms = {pool: _sound(members) for pool, members in rooms.items()}
     placements = []
     # Shapes that fit nowhere: nothing becomes free during one plan.
     hopeless: set[tuple] = set()
@@ -143,6 +145,10 @@
     return placements
 
 
+def _sound(rooms: list[Room]) -> list[Room]:
+    return [room for room in rooms if not room.is_suspect] or rooms
+
+
 def _fit(
     candidate: Candidate, count: int, rooms: list[Room]
 ) -> list[Room] | None:
@@ -203,7 +209,6 @@
     report = room.report
     rack = candidate.step.data_rack
     return (
-        room.is_last_choice,
         report.worker in candidate.avoid,
         bool(rack) and rack not in report.labels,
         room.free.cpu,
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -20,6 +20,9 @@
 
 MAX_LEASE_SECONDS = 6.0
 STOP_SECONDS = 0.3
+# Tasks that take longer than this stand for those that last.
+LASTING_SECONDS = 90.0
+FOREVER_SECONDS = 1e6
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +66,8 @@
         """
         self.report = report
         self.is_alive = True
+        # Whether what it starts makes no progress.
+        self.stands_still = False
         self._seconds_of = seconds_of
         self._history = history
         self._rate = rate
@@ -119,6 +124,8 @@
         )
         self._history.append(begun)
         seconds, how = self._seconds_of(order.task, order.run)
+        if self.stands_still:
+            seconds = FOREVER_SECONDS
         timer = self._loop.call_later(seconds, self._end, order.task, how)
         self._running[order.task] = (begun, timer)
         return Verdict.DONE
@@ -156,13 +163,21 @@
             except TimeoutError:
                 pass
         running = tuple(
-            RunningRow(task, begun.run, "", 100.0, 0.0)
+            RunningRow(task, begun.run, "", self._percent(begun), 0.0)
             for task, (begun, _) in self._running.items()
         )
         return Verdict.DONE, WorkerLists(
             self.clock_ms, self.report.born, running, tuple(self._ended)
         )
 
+    def _percent(self, begun: Begun) -> float:
+        if self.stands_still:
+            return 0.0
+        seconds, _ = self._seconds_of(begun.task, begun.run)
+        if seconds >= LASTING_SECONDS:
+            return 100.0
+        return 100 * (self._loop.time() - begun.begun_at) / seconds
+
     def _extend(self, until_ms: float) -> None:
         until_ms = min(until_ms, self.clock_ms + MAX_LEASE_SECONDS * 1000)
         if until_ms <= self._until_ms:
