Bound the log lines, never block on them, and serve metrics

Lines of one event are limited a second and counted; a reader that stops costs lines and a counter. Counters and latency histograms by OpenTelemetry stand on the metrics address of the settings. Logs and metrics are one package.

--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -47,8 +47,8 @@
     import uvloop
 
     from galenarill.entry import serve as serve_entry_vm
-    from galenarill.entry import start_logging
     from galenarill.settings import load_process_settings
+    from galenarill.telemetry import start_logging
 
     loaded = load_process_settings(settings)
     buffer = start_logging(loaded.vm, loaded.log_file)
@@ -95,16 +95,16 @@
 def _run_node(file: pathlib.Path, run) -> None:
     import uvloop
 
-    from galenarill.entry.logs import start_logging
     from galenarill.settings import load_node_settings
+    from galenarill.telemetry import start_piped_logging
 
     loaded = load_node_settings(file)
-    buffer = start_logging(loaded.vm, "-")
+    pipe = start_piped_logging(loaded.vm)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run(file))
+            runner.run(run(file, pipe))
     finally:
-        buffer.flush()
+        pipe.flush()
 
 
 def main() -> None:
--- a/galenarill/coordinator/answers.py
+++ b/galenarill/coordinator/answers.py
@@ -100,7 +100,11 @@
                     "job": request.job,
                     "queue": queue.name,
                     "tenant": tenant,
-                    "steps": len(request.spec.steps),
+                    "tasks": sum(s.count for s in request.spec.steps),
+                    "lasts": any(s.lasts for s in request.spec.steps),
+                    "fills": any(s.fills for s in request.spec.steps),
+                    "target_ms": max(s.target_ms for s in request.spec.steps),
+                    "may_miss": max(s.may_miss for s in request.spec.steps),
                     "configuration": self._version,
                 },
             )
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -33,6 +33,7 @@
 )
 from galenarill.pools import PoolLoad
 from galenarill.routing import Resources
+from galenarill.telemetry import meter
 from galenarill.upkeep import StepPresence
 from galenarill.workers import (
     Contact,
@@ -53,6 +54,14 @@
 
 logger = logging.getLogger(__name__)
 
+_STARTS = meter().create_counter("galenarill_starts")
+_ENDS = meter().create_counter("galenarill_runs_ended")
+_LAPSES = meter().create_counter("galenarill_leases_lapsed")
+_TERMS = meter().create_counter("galenarill_terms_led")
+_FIRST_START = meter().create_histogram(
+    "galenarill_first_start_seconds", unit="s"
+)
+
 # How long a worker may hold a renewal open for an end, in milliseconds: a
 # fifth of the lease, so that several renewals can be lost.
 RENEW_WAIT_MS = 700
@@ -133,6 +142,7 @@
 
     def start(self) -> None:
         """Take over what the state holds, and begin to schedule."""
+        _TERMS.add(1)
         logger.info("leading", extra={"term": self._term})
         now = steady_now()
         for job in self._state.jobs:
@@ -377,6 +387,8 @@
                 (member, incarnation.worker, incarnation.born)
                 for member, incarnation in placement.members
             )
+            if not job.has_started:
+                _FIRST_START.record(max(0.0, wall_now() - job.accepted_at))
             commands.append(
                 StartRun(candidate.job, *candidate.key, number, members)
             )
@@ -536,6 +548,7 @@
     ) -> bool:
         """Act on the answer to a start; tell whether no more are needed."""
         verdict = answer.verdict
+        _STARTS.add(1, {"verdict": verdict.value})
         log = logger.debug if verdict is Verdict.DONE else logger.info
         log(
             "start answered",
@@ -797,6 +810,7 @@
         if place in self._ending or not self._is_tracked(run):
             return
         self._ending.add(place)
+        _ENDS.add(1, {"how": how.value})
         if not checkpoint and run.row is not None and how is not End.DONE:
             checkpoint = run.row.checkpoint
         if how is End.FAILED:
@@ -856,6 +870,7 @@
             else:
                 lapses_at = contact.lapses_at()
             if now > lapses_at:
+                _LAPSES.add(1)
                 if contact is not None:
                     contact.is_read = False
                 self._lose(worker, "its lease has ended", _ANY_LIFE)
--- a/galenarill/coordinator/proposals.py
+++ b/galenarill/coordinator/proposals.py
@@ -7,9 +7,13 @@
 from galenarill.consensus import LogDriver, Replica, Role
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import encode_commands
+from galenarill.telemetry import meter
+from galenarill.world import steady_now
 
 __all__ = ["Proposals"]
 
+_COMMIT = meter().create_histogram("galenarill_commit_seconds", unit="s")
+
 
 class Proposals:
     """Batches commands, and tells when they are applied."""
@@ -67,3 +71,5 @@
             future.set_exception(error)
             return
         self._waiting[index] = (self._replica.term, future)
+        begin = steady_now()
+        future.add_done_callback(lambda _: _COMMIT.record(steady_now() - begin))
--- a/galenarill/entry/node.py
+++ b/galenarill/entry/node.py
@@ -19,8 +19,6 @@
 from galenarill.entry.control import open_control_path
 from galenarill.entry.execution import Execution
 from galenarill.entry.keyring import KeyRing
-from galenarill.entry.logs import LogBuffer
-from galenarill.entry.metrics import Metrics
 from galenarill.entry.operators import load_operators
 from galenarill.entry.policy import FleetPolicy
 from galenarill.entry.servers import ServerInterface
@@ -33,6 +31,7 @@
 from galenarill.scheduling import messages as slot_messages
 from galenarill.settings import ProcessSettings
 from galenarill.state import messages as state_messages
+from galenarill.telemetry import LogBuffer, Metrics
 from galenarill.world import AvailabilityZoneId, VmId
 
 __all__ = ["EntryNode", "serve"]
--- a/galenarill/gateway/node.py
+++ b/galenarill/gateway/node.py
@@ -3,16 +3,25 @@
 import asyncio
 import logging
 
-from galenarill.cluster import LeaderClient, Presence, Reply
+from galenarill.cluster import (
+    LeaderClient,
+    NoAnswerError,
+    Presence,
+    Reply,
+)
 from galenarill.gateway.service import GatewayService
 from galenarill.links import Mesh
 from galenarill.settings import NodeSettings
-from galenarill.world import VmId
+from galenarill.telemetry import meter
+from galenarill.world import VmId, steady_now
 
 __all__ = ["Gateway"]
 
 logger = logging.getLogger(__name__)
 
+_REQUESTS = meter().create_counter("galenarill_requests")
+_LATENCY = meter().create_histogram("galenarill_request_seconds", unit="s")
+
 PRESENCE_SECONDS = 0.3
 # Silence after which a link counts as half-open, in seconds: five times the
 # period of `Presence`.
@@ -64,7 +73,32 @@
 
     async def ask(self, request, deadline: float) -> Reply:
         """Answer a question of a caller through the leader."""
-        return await self._calls.ask(request, deadline)
+        begin = steady_now()
+        outcome = "no leader"
+        try:
+            reply = await self._calls.ask(request, deadline)
+            outcome = reply.code.value
+            return reply
+        except NoAnswerError:
+            outcome = "no answer"
+            raise
+        finally:
+            seconds = steady_now() - begin
+            kind = type(request).__name__
+            labels = {"kind": kind, "outcome": outcome}
+            _REQUESTS.add(1, labels)
+            _LATENCY.record(seconds, {"kind": kind})
+            if outcome != "done":
+                logger.info(
+                    "request not served",
+                    extra={
+                        "job": getattr(request, "job", ""),
+                        "kind": kind,
+                        "outcome": outcome,
+                        "leader": self._calls.leader,
+                        "seconds": round(seconds, 3),
+                    },
+                )
 
     def _send(self, peer: VmId, message) -> bool:
         return self._mesh.send(peer, message)
--- a/galenarill/platform/process.py
+++ b/galenarill/platform/process.py
@@ -7,6 +7,9 @@
 import signal
 from collections.abc import Callable
 
+from aiohttp import web
+from opentelemetry.metrics import Observation
+
 from galenarill.coordinator.node import Coordinator
 from galenarill.errors import (
     GalenarillError,
@@ -17,9 +20,11 @@
 from galenarill.gateway.node import Gateway
 from galenarill.platform.control import ControlServer
 from galenarill.platform.front import FrontServer
+from galenarill.platform.http import listen
 from galenarill.platform.machine_client import HttpMachineClient
 from galenarill.platform.worker_client import HttpWorkerClient
 from galenarill.settings import NodeSettings, load_node_settings
+from galenarill.telemetry import LogPipe, MetricsPage, meter
 
 __all__ = ["run_gateway", "run_coordinator"]
 
@@ -30,16 +35,19 @@
 LEAVE_SHARE = 0.6
 REOPEN_SECONDS = 1.0
 RELOAD_SECONDS = 2.0
+FLUSH_SECONDS = 0.3
 
 
-async def run_gateway(file: pathlib.Path) -> None:
+async def run_gateway(file: pathlib.Path, pipe: LogPipe) -> None:
     """Run a gateway until it gets SIGTERM or SIGINT.
 
     Args:
         file: Settings of this process, read again on SIGHUP and when changed.
+        pipe: Log lines, to be flushed now and then.
     """
     stop = _stop_event()
     settings = load_node_settings(file)
+    telling = await _start_telemetry(settings, pipe)
     gateway = Gateway(settings)
     front = FrontServer(gateway)
     running = asyncio.create_task(gateway.run())
@@ -53,10 +61,11 @@
     await front.stop()
     await _cancel(watching)
     await _cancel(running)
+    await _cancel(telling)
     logger.info("stopped")
 
 
-async def run_coordinator(file: pathlib.Path) -> None:
+async def run_coordinator(file: pathlib.Path, pipe: LogPipe) -> None:
     """Run a coordinator until it gets SIGTERM or SIGINT.
 
     A journal that cannot be written is opened anew until it can be: what has
@@ -64,10 +73,13 @@
 
     Args:
         file: Settings of this process, read again on SIGHUP and when changed.
+        pipe: Log lines, to be flushed now and then.
     """
     stop = _stop_event()
     settings = load_node_settings(file)
     async with contextlib.AsyncExitStack() as stack:
+        telling = await _start_telemetry(settings, pipe)
+        stack.push_async_callback(_cancel, telling)
         client = HttpWorkerClient()
         stack.push_async_callback(client.aclose)
         machines = None
@@ -109,6 +121,32 @@
         await _cancel(running)
 
 
+async def _start_telemetry(
+    settings: NodeSettings, pipe: LogPipe
+) -> asyncio.Task:
+    """Serve the metrics page, and flush log lines until cancelled."""
+    page = MetricsPage()
+    meter().create_observable_counter(
+        "galenarill_log_lines_dropped",
+        callbacks=[lambda options: [Observation(pipe.dropped)]],
+    )
+
+    async def serve(request: web.BaseRequest) -> web.Response:
+        return web.Response(body=page.render(), content_type="text/plain")
+
+    runner = await listen(serve, f"{settings.ip}:{settings.metrics_port}")
+
+    async def flush_forever() -> None:
+        try:
+            while True:
+                await asyncio.sleep(FLUSH_SECONDS)
+                pipe.flush()
+        finally:
+            await runner.cleanup()
+
+    return asyncio.create_task(flush_forever())
+
+
 async def _watch_settings(
     file: pathlib.Path, add_seeds: Callable[[NodeSettings], None]
 ) -> None:
--- /dev/null
+++ b/galenarill/telemetry/__init__.py
@@ -0,0 +1,5 @@
+"""Logs and metrics of a process."""
+
+from galenarill.telemetry.logs import *  # noqa: F403
+from galenarill.telemetry.metrics import *  # noqa: F403
+from galenarill.telemetry.pipe import *  # noqa: F403
--- a/galenarill/entry/metrics.py
+++ b/galenarill/telemetry/metrics.py
@@ -3,16 +3,57 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from aiohttp import web
+from opentelemetry import metrics
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.metrics import CallbackOptions, Meter, Observation
+from opentelemetry.sdk.metrics import Histogram, MeterProvider
+from opentelemetry.sdk.metrics.view import (
+    ExplicitBucketHistogramAggregation,
+    View,
+)
 from prometheus_client import REGISTRY, generate_latest
 
-__all__ = ["Metrics"]
+__all__ = ["Metrics", "MetricsPage", "meter"]
 
 METER_NAME = "galenarill"
 
 
+# Edges of latency histograms, in seconds: from a sync to a caller's patience.
+LATENCY_EDGES = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+def meter() -> Meter:
+    """Return the meter for counters and histograms of this process.
+
+    Instruments may be made before `MetricsPage` is.
+    """
+    return metrics.get_meter(METER_NAME)
+
+
+class MetricsPage:
+    """Collects every instrument of this process, as text on request."""
+
+    def __init__(self):
+        """Begin to collect."""
+        metrics.set_meter_provider(
+            MeterProvider(
+                metric_readers=[PrometheusMetricReader()],
+                views=[
+                    View(
+                        instrument_type=Histogram,
+                        aggregation=ExplicitBucketHistogramAggregation(
+                            LATENCY_EDGES
+                        ),
+                    )
+                ],
+            )
+        )
+
+    def render(self) -> bytes:
+        """Return all values in the Prometheus text format."""
+        return generate_latest(REGISTRY)
+
+
 class Metrics:
     """Observable instruments, collected only when they are read."""
 
