--- /dev/null
+++ b/standins/platform_http.py
@@ -0,0 +1,214 @@
+"""Stand-in for the users' platform: workers, machines and settings files."""
+
+import asyncio
+import json
+import pathlib
+
+import aiohttp
+from aiohttp import web
+
+from galenarill.routing import Resources
+from galenarill.workers import StartOrder, Verdict, WorkerReport
+from standins.workers import Begun, StandinWorker
+
+__all__ = ["PlatformWorkers", "PlatformMachines", "write_settings"]
+
+HEARTBEAT_SECONDS = 0.3
+CONTROL_PORT = 8345
+FRONT_PORT = 8340
+READY_PORT = 8343
+LINK_PORT = 7000
+
+
+def write_settings(
+    folder: pathlib.Path, name: str, ip: str, seeds: list[str], **extra
+) -> pathlib.Path:
+    """Write the settings of one process, as the template renders them."""
+    values = {
+        "vm": name,
+        "ip": ip,
+        "availability_zone": "a",
+        "link_port": LINK_PORT,
+        "metrics_port": LINK_PORT + 1,
+        "link_secret": "secret",
+        "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
+        "forms_log": True,
+        "grace_seconds": 1.0,
+        **extra,
+    }
+    file = folder / f"{name}.toml"
+    file.write_text(
+        "".join(f"{key} = {json.dumps(v)}\n" for key, v in values.items())
+    )
+    return file
+
+
+class PlatformWorkers:
+    """Workers that speak the platform's protocol over HTTP."""
+
+    def __init__(self, controls: list[str], pool: str, seconds: float = 0.3):
+        """Make workers that report to `controls`, `host:port` each."""
+        self.history: list[Begun] = []
+        self._controls = controls
+        self._pool = pool
+        self._seconds = seconds
+        self._lives: list[StandinWorker] = []
+        self._runners: list[web.ServerRunner] = []
+        self._tasks: list[asyncio.Task] = []
+
+    async def add(self, name: str, room: int = 4) -> None:
+        """Start a worker on a free port of loopback."""
+        life: list[StandinWorker] = []
+
+        async def serve(request: web.BaseRequest) -> web.Response:
+            return await _serve(life[0], request)
+
+        runner = web.ServerRunner(web.Server(serve, access_log=None))
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        host, port = runner.addresses[0][:2]
+        report = WorkerReport(
+            name,
+            1,
+            1,
+            self._pool,
+            f"m-{name}",
+            f"{host}:{port}",
+            "a",
+            "r1",
+            ("a", "r1"),
+            Resources(room, 1000, 0),
+        )
+        life.append(
+            StandinWorker(
+                report, lambda *_: (self._seconds, "done"), self.history, 1.0
+            )
+        )
+        self._lives += life
+        self._runners.append(runner)
+        self._tasks.append(asyncio.create_task(self._report(life[0])))
+
+    async def stop(self) -> None:
+        """End all workers."""
+        for task in self._tasks:
+            task.cancel()
+        for life in self._lives:
+            life.die()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _report(self, life: StandinWorker) -> None:
+        sequence = 0
+        report = life.report
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=1.0)
+        ) as session:
+            while True:
+                for control in self._controls:
+                    sequence += 1
+                    body = {
+                        "service": report.pool,
+                        "address": report.address,
+                        "zone": report.zone,
+                        "state": "ready",
+                        "seq": sequence,
+                        "born": report.born,
+                        "machine": report.machine,
+                        "labels": list(report.labels),
+                        "capacity": {
+                            "cpu": report.capacity.cpu,
+                            "mem_mb": 1000,
+                        },
+                    }
+                    try:
+                        async with session.put(
+                            f"http://{control}/galenarill/instances/"
+                            f"{report.worker}",
+                            json=body,
+                        ) as response:
+                            if response.status < 300:
+                                break
+                    except (aiohttp.ClientError, TimeoutError, OSError):
+                        continue
+                await asyncio.sleep(HEARTBEAT_SECONDS)
+
+
+class PlatformMachines:
+    """The machine interface, with machines that stay where they are."""
+
+    def __init__(self):
+        """Make an interface without machines."""
+        self.address = ""
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+
+        async def serve(request: web.BaseRequest) -> web.Response:
+            return web.json_response({"machines": [], "next_token": None})
+
+        self._runner = web.ServerRunner(web.Server(serve, access_log=None))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+
+async def _serve(life: StandinWorker, request: web.BaseRequest) -> web.Response:
+    expected = request.headers.get("X-Galenarill-Expect-Instance")
+    if expected != life.report.worker:
+        return web.Response(status=421)
+    body = json.loads(await request.read())
+    name = request.path.rpartition("/")[2]
+    if name == "hold":
+        verdict, lists = await life.hold(
+            body["fence"],
+            body["seen_upto"],
+            body.get("until_ms"),
+            body.get("wait_ms", 0),
+        )
+        if lists is not None:
+            return web.json_response(
+                {
+                    "clock_ms": lists.clock_ms,
+                    "born": life.report.born,
+                    "running": [
+                        [r.task, r.run, r.checkpoint, r.percent, r.load]
+                        for r in lists.running
+                    ],
+                    "ended": [
+                        [e.number, e.task, e.run, e.how, e.checkpoint]
+                        for e in lists.ended
+                    ],
+                }
+            )
+    elif name == "run-start":
+        verdict = life.start(
+            StartOrder(
+                body["task"],
+                body["run"],
+                body["spec"],
+                body["until_ms"],
+                body["fence"],
+            )
+        )
+    elif name == "run-stop":
+        verdict = life.stop(body["task"], body["run"], body["fence"])
+    else:
+        return web.Response(status=404)
+    reasons = {
+        Verdict.FENCED: "fence",
+        Verdict.OLD: "old",
+        Verdict.LATE: "late",
+        Verdict.NO_ROOM: "room",
+    }
+    answer = {"clock_ms": life.clock_ms}
+    if verdict in reasons:
+        return web.json_response(
+            answer | {"reason": reasons[verdict]}, status=409
+        )
+    return web.json_response(answer)
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,72 @@
+"""What the packages may know of each other, and pinned requirements."""
+
+import pathlib
+import re
+import tomllib
+
+ROOT = pathlib.Path(__file__).parent.parent
+# Names on the platform's wire that the project calls something else.
+WIRE_NAMES = (
+    "run-start",
+    "seen_upto",
+    "run-stop",
+    "max_hold_ms",
+    "anti_affinity",
+    "long_running",
+    "same_rack",
+    "slo_ms",
+    "path_prefix",
+    "api_keys",
+    "machine-move",
+    "machine-upkeep",
+    "wave-start",
+    "wave-get",
+    "heartbeat_url",
+    "admission_check",
+    "X-Galenarill",
+    '"/galenarill/',
+)
+
+
+def test_names_on_the_platforms_wire_stay_in_its_folder():
+    found = [
+        f"{file.relative_to(ROOT)}: {name}"
+        for file in (ROOT / "galenarill").rglob("*.py")
+        if "platform" not in file.relative_to(ROOT / "galenarill").parts[:-1]
+        for name in WIRE_NAMES
+        if re.search(rf"(?<!\w){re.escape(name)}(?!\w)", file.read_text())
+    ]
+    assert not found
+
+
+def test_the_platforms_folder_decides_nothing():
+    """It may translate and serve; it imports no planner and no state."""
+    for file in (ROOT / "galenarill/platform").glob("*.py"):
+        imports = re.findall(r"from (galenarill\.\S+)", file.read_text())
+        for name in imports:
+            assert not name.startswith(
+                ("galenarill.placement", "galenarill.upkeep")
+            ), file
+
+
+def test_pinned_requirements_satisfy_the_project():
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    pinned = {}
+    for line in (ROOT / "requirements.txt").read_text().split():
+        name, _, version = line.partition("==")
+        pinned[_normal(name)] = _numbers(version)
+    for requirement in project["dependencies"]:
+        name, low, high = re.fullmatch(
+            r"([\w-]+)>=([\w.]+),<([\w.]+)", requirement
+        ).groups()
+        assert _normal(name) in pinned, f"{name} is not pinned"
+        version = pinned[_normal(name)]
+        assert _numbers(low) <= version < _numbers(high), name
+
+
+def _normal(name):
+    return name.lower().replace("_", "-")
+
+
+def _numbers(version):
+    return [int(part) for part in re.findall(r"\d+", version)]
