--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -64,7 +64,7 @@
 
 # How long a worker may hold a renewal open for an end, in milliseconds: a
 # fifth of the lease, so that several renewals can be lost.
-RENEW_WAIT_MS = 700
+RENEW_WAIT_MS = 600
 # A worker that has not answered for this long gets no starts, in seconds.
 ANSWER_SECONDS = 1.6
 # Pause between two rounds of placement, in seconds: starts of one burst share
@@ -72,6 +72,9 @@
 PLACE_SECONDS = 0.01
 TICK_SECONDS = 0.1
 RETRY_SECONDS = 0.15
+# Silence of a worker after which tasks that may have copies get one, in
+# seconds: longer than a renewal that is held open.
+DOUBT_SECONDS = 1.0
 # A worker that refused a start gets none for this long, in seconds.
 REFUSED_SECONDS = 0.3
 # How long an ended job is kept, in seconds, beyond the platform's bound.
@@ -82,6 +85,14 @@
 # A run whose progress stands still for this long is moved, in seconds: longer
 # than a renewal, a restore and the start of a task take together.
 STALL_SECONDS = 2.0
+# Progress from which a run's duration is projected.
+MIN_PROGRESS_PERCENT = 3
+# Durations over the estimate: usual, and those that only one run in a hundred
+# has on a sound worker (measured on the platform: 1.2 and 3.4).
+USUAL_FACTOR = 1.25
+SLOW_FACTOR = 3.5
+# What it costs to stop a run and to start it elsewhere, in seconds.
+RESTART_SECONDS = 0.5
 # A worker that has left may still be ending what it ran, in seconds.
 LEFT_SECONDS = 0.3
 
@@ -229,8 +240,11 @@
             for run in added:
                 self._spawn(self._start_run(run))
             job = self._state.jobs.get(job_id)
-            if job is not None and job.status is not JobStatus.ACTIVE:
-                for run in self._runs.runs_of(job_id):
+            for run in self._runs.runs_of(job_id) if job else ():
+                # Cancelled and failed jobs, and copies that lost the race.
+                if job.status is not JobStatus.ACTIVE or (
+                    run.step.is_speculative and job.tasks[run.key].is_done
+                ):
                     self._stop_soon(run)
             self._refresh_ready(job_id)
         if touched:
@@ -349,11 +363,32 @@
     def _refresh_ready(self, job_id: JobId) -> None:
         job = self._state.jobs.get(job_id)
         ready = ready_tasks(job, wall_now()) if job is not None else []
+        if job is not None and job.status is JobStatus.ACTIVE:
+            ready += self._doubtful_tasks(job)
         if ready:
             self._ready[job_id] = ready
         else:
             self._ready.pop(job_id, None)
 
+    def _doubtful_tasks(self, job: Job) -> list[TaskKey]:
+        """Return tasks that may have a second copy, and should."""
+        now = steady_now()
+        return [
+            run.key
+            for run in self._runs.runs_of(job.id)
+            if run.step.is_speculative
+            and not run.step.is_gang
+            and not job.tasks[run.key].is_done
+            and len(job.tasks[run.key].runs) == 1
+            and self._is_doubtful(run, now)
+        ]
+
+    def _is_doubtful(self, run: TrackedRun, now: float) -> bool:
+        contact = self._contact_of(run)
+        if contact is None or contact.answered_at < now - DOUBT_SECONDS:
+            return True
+        return run.is_slow and run.phase is Phase.RUNNING
+
     # Placement.
 
     async def _place_forever(self) -> None:
@@ -450,10 +485,20 @@
             step,
             pool,
             job.tenant,
-            frozenset(self._failed_on.get((job_id, key), ())),
+            self._workers_to_avoid(job_id, key),
             beside.get(place, {}),
         )
 
+    def _workers_to_avoid(
+        self, job_id: JobId, key: TaskKey
+    ) -> frozenset[WorkerId]:
+        """Return where a task has failed, or has a copy already."""
+        avoid = set(self._failed_on.get((job_id, key), ()))
+        task = self._state.jobs[job_id].tasks.get(key)
+        for run in task.runs if task is not None else ():
+            avoid.update(life.worker for life in run.members.values())
+        return frozenset(avoid)
+
     def _beside(self, job: JobId, key: TaskKey) -> dict[WorkerId, int]:
         counts: dict[WorkerId, int] = {}
         for run in self._runs.runs_of(job):
@@ -716,6 +761,11 @@
         if run.step.lasts and row.percent >= 100:
             run.progress.moved_at = now
         if run.progress.stalled_seconds() < STALL_SECONDS:
+            if not run.is_slow and self._is_slow(run, now):
+                run.is_slow = True
+                self._note_bad(run)
+            if run.is_slow and self._would_gain(run, now):
+                self._stop_soon(run)
             return
         logger.info(
             "run stands still",
@@ -731,6 +781,22 @@
         self._note_bad(run)
         self._stop_soon(run)
 
+    def _is_slow(self, run: TrackedRun, now: float) -> bool:
+        """Tell whether a run takes much longer than was estimated."""
+        if run.step.lasts or run.progress.percent < MIN_PROGRESS_PERCENT:
+            return False
+        total = (now - run.since) * 100 / run.progress.percent
+        return total > SLOW_FACTOR * estimated_seconds(run.step)
+
+    def _would_gain(self, run: TrackedRun, now: float) -> bool:
+        """Tell whether a run on a quarantined worker ends sooner elsewhere."""
+        if not self._health.is_quarantined(run.incarnation.worker, now):
+            return False
+        elapsed, percent = now - run.since, run.progress.percent
+        left = elapsed * (100 - percent) / percent
+        again = USUAL_FACTOR * estimated_seconds(run.step)
+        return left > again + RESTART_SECONDS
+
     def _note_bad(self, run: TrackedRun) -> None:
         """Take in that a run has failed or stalled where it was placed."""
         worker = run.incarnation.worker
@@ -852,7 +918,10 @@
             self._lose_lapsed(now)
             wall = wall_now()
             for job_id, job in self._state.jobs.items():
-                if job.spec.repeat_count and job.status is JobStatus.ACTIVE:
+                if job.status is JobStatus.ACTIVE and (
+                    job.spec.repeat_count
+                    or any(step.is_speculative for step in job.spec.steps)
+                ):
                     self._refresh_ready(job_id)
             self._forget(wall)
             self._wake.set()
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -50,6 +50,7 @@
         was_unanswered: Whether an order to start it got no answer.
         begun_at: When it was ordered, on the steady clock.
         progress: How it advances, or None before the first reading.
+        is_slow: Whether it takes much longer than was estimated.
     """
 
     job: JobId
@@ -66,6 +67,7 @@
     was_unanswered: bool = False
     begun_at: float = 0.0
     progress: Progress | None = None
+    is_slow: bool = False
 
 
 class RunIndex:
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -195,3 +195,28 @@
     simulation.advance(1)
     workers = {b.worker for b in simulation.network.history if b.how == "done"}
     assert workers == {"w0", "w1"}
+
+
+def test_work_leaves_a_slow_worker(make):
+    simulation = make(workers=2)
+    simulation.network.workers["w0:1"].slowness = 8.0
+    for number in range(4):
+        simulation.submit(f"j{number}", count=2, estimate_ms=1000)
+    simulation.advance(6)
+    assert simulation.all_completed()
+    simulation.check()
+
+
+def test_a_silent_workers_task_gets_a_copy_where_it_may(make):
+    simulation = make(seconds_of=lambda task, run: (1.5, "done"), workers=2)
+    simulation.submit("j", count=1, is_speculative=True)
+    simulation.advance(0.5)
+    (first,) = simulation.network.history
+    simulation.network.cut.add(f"{first.worker}:1")
+    simulation.advance(3.2)
+    # The lease of the silent worker has not ended yet.
+    assert simulation.status("j") is JobStatus.COMPLETED
+    simulation.network.cut.clear()
+    simulation.advance(3)
+    assert not simulation.leader.runs.by_name
+    assert len(simulation.network.history) == 2
--- a/galenarill/workers/contact.py
+++ b/galenarill/workers/contact.py
@@ -5,7 +5,7 @@
 __all__ = ["Contact", "LEASE_SECONDS", "CLOCK_DRIFT"]
 
 # How long a worker runs on without a renewal, in seconds: outlives an election.
-LEASE_SECONDS = 3.5
+LEASE_SECONDS = 2.8
 # A worker's clock may be slow by this share; source: the platform's protocol.
 CLOCK_DRIFT = 0.02
 LEASE_MARGIN_SECONDS = 0.25
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -68,6 +68,8 @@
         self.is_alive = True
         # Whether what it starts makes no progress.
         self.stands_still = False
+        # How many times as long everything takes.
+        self.slowness = 1.0
         self._seconds_of = seconds_of
         self._history = history
         self._rate = rate
@@ -124,6 +126,7 @@
         )
         self._history.append(begun)
         seconds, how = self._seconds_of(order.task, order.run)
+        seconds *= self.slowness
         if self.stands_still:
             seconds = FOREVER_SECONDS
         timer = self._loop.call_later(seconds, self._end, order.task, how)
@@ -176,6 +179,7 @@
         seconds, _ = self._seconds_of(begun.task, begun.run)
         if seconds >= LASTING_SECONDS:
             return 100.0
+        seconds *= self.slowness
         return 100 * (self._loop.time() - begun.begun_at) / seconds
 
     def _extend(self, until_ms: float) -> None:
