--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import statistics
 from collections.abc import Callable
 
 from galenarill.coordinator.runs import (
@@ -87,10 +88,13 @@
 STALL_SECONDS = 2.0
 # Progress from which a run's duration is projected.
 MIN_PROGRESS_PERCENT = 3
-# Durations over the estimate: usual, and those that only one run in a hundred
-# has on a sound worker (measured on the platform: 1.2 and 3.4).
-USUAL_FACTOR = 1.25
-SLOW_FACTOR = 3.5
+# A run is slow if it takes this many times as long as its like elsewhere; tasks
+# of one step differ by a third.
+SLOW_FACTOR = 2.5
+# Runs of the same step on other workers that are compared with, at least, and
+# the progress from which they count.
+MIN_SIBLINGS = 2
+MIN_SIBLING_PERCENT = 20
 # What it costs to stop a run and to start it elsewhere, in seconds.
 RESTART_SECONDS = 0.5
 # A worker that has left may still be ending what it ran, in seconds.
@@ -148,6 +152,8 @@
         self._ending: set[tuple[str, int, int]] = set()
         self._cordoned: set[WorkerId] = set()
         self._health = WorkerHealth()
+        # How long tasks of each step have taken, and on which worker.
+        self._durations: dict[tuple, list[tuple[WorkerId, float]]] = {}
         # Ready tasks that the latest placement left over, by pool.
         self._unplaced: dict[PoolId, list[Step]] = {}
 
@@ -246,6 +252,8 @@
                     run.step.is_speculative and job.tasks[run.key].is_done
                 ):
                     self._stop_soon(run)
+            if job is None or job.status is not JobStatus.ACTIVE:
+                self._forget_job(job_id)
             self._refresh_ready(job_id)
         if touched:
             self._wake.set()
@@ -347,6 +355,12 @@
             and run.row.percent >= 100
         )
 
+    def _forget_job(self, job_id: JobId) -> None:
+        """Drop what was learned about a job that is over."""
+        for known in (self._durations, self._failed_on):
+            for place in [place for place in known if place[0] == job_id]:
+                del known[place]
+
     def _spawn(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -782,20 +796,50 @@
         self._stop_soon(run)
 
     def _is_slow(self, run: TrackedRun, now: float) -> bool:
-        """Tell whether a run takes much longer than was estimated."""
+        """Tell whether a run takes much longer than its like elsewhere."""
         if run.step.lasts or run.progress.percent < MIN_PROGRESS_PERCENT:
             return False
+        usual = self._usual_seconds(run, now)
         total = (now - run.since) * 100 / run.progress.percent
-        return total > SLOW_FACTOR * estimated_seconds(run.step)
+        return usual is not None and total > SLOW_FACTOR * usual
 
     def _would_gain(self, run: TrackedRun, now: float) -> bool:
         """Tell whether a run on a quarantined worker ends sooner elsewhere."""
         if not self._health.is_quarantined(run.incarnation.worker, now):
             return False
+        usual = self._usual_seconds(run, now)
+        if usual is None:
+            return False
         elapsed, percent = now - run.since, run.progress.percent
         left = elapsed * (100 - percent) / percent
-        again = USUAL_FACTOR * estimated_seconds(run.step)
-        return left > again + RESTART_SECONDS
+        return left > usual + RESTART_SECONDS
+
+    def _usual_seconds(self, run: TrackedRun, now: float) -> float | None:
+        """Return how long tasks of the same step take on other workers.
+
+        Estimates are no measure: on some queues they are off by a factor.
+        """
+        worker = run.incarnation.worker
+        place = (run.job, *run.key[:2])
+        seconds = [
+            duration
+            for other, duration in self._durations.get(place, ())
+            if other != worker
+        ]
+        for sibling in self._runs.runs_of(run.job):
+            progress = sibling.progress
+            if (
+                sibling.key[:2] == run.key[:2]
+                and sibling.incarnation.worker != worker
+                and sibling.phase is Phase.RUNNING
+                and progress is not None
+                and progress.percent >= MIN_SIBLING_PERCENT
+            ):
+                elapsed = progress.seen_at - sibling.since
+                seconds.append(elapsed * 100 / progress.percent)
+        if len(seconds) < MIN_SIBLINGS:
+            return None
+        return statistics.median(seconds)
 
     def _note_bad(self, run: TrackedRun) -> None:
         """Take in that a run has failed or stalled where it was placed."""
@@ -883,6 +927,9 @@
             self._note_bad(run)
         elif how is End.DONE:
             self._health.note_done(run.incarnation.worker)
+            self._durations.setdefault((run.job, *run.key[:2]), []).append(
+                (run.incarnation.worker, steady_now() - run.since)
+            )
         logger.info(
             "run ended",
             extra={
