Hold the lease on each machine by itself at a takeover

Change: the log holds who ordered each machine last and when, noted again before each try; only machines with a recent order of another holder wait.

--- a/galenarill/coordinator/machines.py
+++ b/galenarill/coordinator/machines.py
@@ -6,6 +6,8 @@
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from galenarill.coordinator.leader import Leader
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
@@ -61,8 +63,8 @@
 class MachineKeeper:
     """Moves machines to where work is, and carries out waves of upkeep.
 
-    One coordinator at a time gives orders: a new leader waits until the
-    machine lease of the one before has ended.
+    One coordinator at a time orders a machine: a new leader waits until the
+    lease has ended that the latest order of another one gave.
     """
 
     def __init__(
@@ -93,9 +95,8 @@
         self._is_confirmed = is_confirmed
         self._holder = holder
         self._orders = 0
-        self._ready_at = steady_now()
-        if state.has_ordered_machines:
-            self._ready_at += lease_seconds + TAKEOVER_MARGIN_SECONDS
+        self._lease_seconds = lease_seconds + TAKEOVER_MARGIN_SECONDS
+        self._since = steady_now()
         self._machines: dict[MachineId, Machine] = {}
         self._read_at = float("-inf")
         self._is_fenced = False
@@ -133,10 +134,16 @@
                 task.cancel()
 
     def _may_order(self) -> bool:
+        return self._is_confirmed() and not self._is_fenced
+
+    def _is_ours(self, machine: MachineId) -> bool:
+        """Tell whether no other holder's lease on a machine is left."""
+        order = self._state.orders.get(machine)
         return (
-            self._is_confirmed()
-            and not self._is_fenced
-            and steady_now() >= self._ready_at
+            order is None
+            or order.holder == self._holder
+            or wall_now() >= order.at + self._lease_seconds
+            or steady_now() >= self._since + self._lease_seconds
         )
 
     async def _step(self) -> None:
@@ -253,6 +260,7 @@
         pool = self._moving.get(machine.id, machine.pool)
         is_up = (
             machine.state is MachineState.UP
+            and self._is_ours(machine.id)
             and machine.id not in self._moving
             and machine.id not in self._emptying
             and machine.id not in self._acknowledged
@@ -285,15 +293,12 @@
         worker = machine.worker
         life = self._leader.life_of(worker)
         try:
-            if worker and not self._leader.is_idle(worker):
-                self._moving.pop(machine.id, None)
-                return
-            await self._propose(PlaceMachine(machine.id, pool, wall_now()))
             if worker and not self._leader.is_idle(worker):
                 self._moving.pop(machine.id, None)
                 return
             verdict, is_first = await self._order(
                 machine,
+                PlaceMachine(machine.id, pool, self._holder, 0.0),
                 lambda token: self._client.move(
                     machine.id, pool, self._holder, token
                 ),
@@ -321,10 +326,15 @@
                 self._leader.uncordon(worker)
 
     async def _order(
-        self, machine: Machine, call
+        self, machine: Machine, intent: OrderUpkeep | PlaceMachine, call
     ) -> tuple[MachineVerdict, bool]:
         """Give an order, again while it has no answer.
 
+        Args:
+            machine: Machine.
+            intent: Command that is committed before each try.
+            call: Gives the order with a fencing token.
+
         Returns:
             What became of it, and whether that is the answer to the first
             try: the answer to a later one may be about the first, which was
@@ -332,6 +342,7 @@
         """
         tries = 0
         while True:
+            await self._propose(msgspec.structs.replace(intent, at=wall_now()))
             if not self._may_order():
                 return MachineVerdict.BUSY, False
             tries += 1
@@ -377,7 +388,11 @@
                 self._finish(number, machine_id, "it is back")
             else:
                 down += 1
-                if machine is not None and acknowledged is None:
+                if (
+                    machine is not None
+                    and acknowledged is None
+                    and self._is_ours(machine_id)
+                ):
                     self._maintain_soon(number, machine)
         for machine_id in wave.machines:
             if self._machines and machine_id not in self._machines:
@@ -415,12 +430,13 @@
         for machine_id, place in choice.evacuate:
             self._leader.evacuate(self._machines[machine_id].worker, place)
         for machine_id in choice.begin:
-            self._spawn(self._order_upkeep(number, self._machines[machine_id]))
+            self._spawn(self._maintain(number, self._machines[machine_id]))
 
     def _subject(self, wave: Wave, machine_id: MachineId) -> Subject | None:
         machine = self._machines.get(machine_id)
         if (
             machine is None
+            or not self._is_ours(machine_id)
             or machine_id in wave.ordered
             or machine_id in self._moving
             or machine.state is not MachineState.UP
@@ -446,10 +462,6 @@
             load > 0,
         )
 
-    async def _order_upkeep(self, number: int, machine: Machine) -> None:
-        await self._propose(OrderUpkeep(number, machine.id, wall_now()))
-        await self._maintain(number, machine)
-
     def _maintain_soon(self, number: int, machine: Machine) -> None:
         """Order again what an earlier leader may have ordered."""
         if machine.id not in self._emptying:
@@ -470,6 +482,7 @@
         life = self._leader.life_of(machine.worker)
         verdict, is_first = await self._order(
             machine,
+            OrderUpkeep(number, machine.id, self._holder, 0.0),
             lambda token: self._client.maintain(
                 machine.id, number, self._holder, token
             ),
--- a/galenarill/jobs/commands.py
+++ b/galenarill/jobs/commands.py
@@ -127,10 +127,18 @@
 
 
 class OrderUpkeep(msgspec.Struct, frozen=True, array_like=True, tag="upk"):
-    """Note that a machine's upkeep is about to be ordered."""
+    """Note that a machine's upkeep is about to be ordered.
+
+    Attributes:
+        wave: Number of the wave.
+        machine: Machine.
+        holder: Coordinator that orders it.
+        at: Unix seconds.
+    """
 
     wave: int
     machine: MachineId
+    holder: str
     at: float
 
 
@@ -142,10 +150,18 @@
 
 
 class PlaceMachine(msgspec.Struct, frozen=True, array_like=True, tag="plm"):
-    """Note the pool that a machine is about to be moved to."""
+    """Note the pool that a machine is about to be moved to.
+
+    Attributes:
+        machine: Machine.
+        pool: Pool.
+        holder: Coordinator that orders it.
+        at: Unix seconds.
+    """
 
     machine: MachineId
     pool: PoolId
+    holder: str
     at: float
 
 
--- a/galenarill/jobs/state.py
+++ b/galenarill/jobs/state.py
@@ -16,9 +16,9 @@
     make_job,
 )
 from galenarill.routing import Configuration, RoutingTable
-from galenarill.world import JobId, MachineId, PoolId, WorkerId
+from galenarill.world import JobId, MachineId, WorkerId
 
-__all__ = ["ClusterState", "Wave"]
+__all__ = ["ClusterState", "MachineOrder", "Wave"]
 
 
 class Wave(msgspec.Struct, array_like=True):
@@ -44,6 +44,18 @@
         return self.finished.issuperset(self.machines)
 
 
+class MachineOrder(msgspec.Struct, array_like=True, frozen=True):
+    """The latest order on a machine.
+
+    Attributes:
+        holder: Coordinator that gave it.
+        at: Unix seconds.
+    """
+
+    holder: str
+    at: float
+
+
 class _Image(msgspec.Struct, array_like=True):
     """What a snapshot holds."""
 
@@ -52,7 +64,7 @@
     jobs: list[Job] = []
     draining: dict[WorkerId, int] = {}
     waves: dict[int, Wave] = {}
-    placed: dict[MachineId, PoolId] = {}
+    orders: dict[MachineId, MachineOrder] = {}
 
 
 class ClusterState:
@@ -70,13 +82,6 @@
         """Index of the last entry applied."""
         return self._version
 
-    @property
-    def has_ordered_machines(self) -> bool:
-        """Whether any machine was ever ordered to move or to its upkeep."""
-        return bool(
-            self.placed or any(wave.ordered for wave in self.waves.values())
-        )
-
     @property
     def routing(self) -> RoutingTable:
         """The configuration in force."""
@@ -90,7 +95,7 @@
             list(self.jobs.values()),
             self.draining,
             self.waves,
-            self.placed,
+            self.orders,
         )
         return cbor2.dumps(
             msgspec.to_builtins(image, builtin_types=(bytes,), str_keys=False)
@@ -156,10 +161,11 @@
                 case cmd.OrderUpkeep():
                     wave = self.waves[command.wave]
                     wave.ordered[command.machine] = command.at
+                    self._note_order(command)
                 case cmd.FinishUpkeep():
                     self.waves[command.wave].finished.add(command.machine)
                 case cmd.PlaceMachine():
-                    self.placed[command.machine] = command.pool
+                    self._note_order(command)
         return touched
 
     def _load(self, image: _Image) -> None:
@@ -168,7 +174,11 @@
         self.jobs: dict[JobId, Job] = {job.id: job for job in image.jobs}
         self.draining = image.draining
         self.waves = image.waves
-        self.placed = image.placed
+        # The latest order on each machine.
+        self.orders = image.orders
+
+    def _note_order(self, command: cmd.OrderUpkeep | cmd.PlaceMachine) -> None:
+        self.orders[command.machine] = MachineOrder(command.holder, command.at)
 
     def _configure(self, configuration: Configuration) -> None:
         if configuration.version > self._routing.configuration.version:
