Project a run's time from its own readings

Change: pace is measured between readings; only runs whose whole course is known are compared with. Test: a takeover makes no worker look slow.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -86,15 +86,11 @@
 # A run whose progress stands still for this long is moved, in seconds: longer
 # than a renewal, a restore and the start of a task take together.
 STALL_SECONDS = 2.0
-# Progress from which a run's duration is projected.
-MIN_PROGRESS_PERCENT = 3
 # A run is slow if it takes this many times as long as its like elsewhere; tasks
 # of one step differ by a third.
 SLOW_FACTOR = 2.5
-# Runs of the same step on other workers that are compared with, at least, and
-# the progress from which they count.
+# Runs of the same step on other workers that are compared with, at least.
 MIN_SIBLINGS = 2
-MIN_SIBLING_PERCENT = 20
 # What it costs to stop a run and to start it elsewhere, in seconds.
 RESTART_SECONDS = 0.5
 # A worker that has left may still be ending what it ran, in seconds.
@@ -598,12 +594,12 @@
                 ),
             )
             self._note_clock(contact, answer)
-            if await self._note_start(run, contact, answer):
+            if await self._note_start(run, answer, task.checkpoint):
                 return
             await asyncio.sleep(RETRY_SECONDS)
 
     async def _note_start(
-        self, run: TrackedRun, contact: Contact, answer: OrderAnswer
+        self, run: TrackedRun, answer: OrderAnswer, checkpoint: str
     ) -> bool:
         """Act on the answer to a start; tell whether no more are needed."""
         verdict = answer.verdict
@@ -622,6 +618,7 @@
         match verdict:
             case Verdict.DONE:
                 if run.phase is Phase.STARTING:
+                    run.is_whole = not run.was_unanswered and not checkpoint
                     run.phase, run.since = Phase.RUNNING, steady_now()
                 return True
             case Verdict.NO_ANSWER:
@@ -768,14 +765,14 @@
         """Move a run that stands still to another worker."""
         now = steady_now()
         if run.progress is None:
-            run.progress = Progress(row.percent, now, now)
+            run.progress = Progress(row.percent, now)
         run.progress.note(row.percent, now)
         if run.phase is not Phase.RUNNING or run.step.is_gang:
             return
         if run.step.lasts and row.percent >= 100:
-            run.progress.moved_at = now
+            run.progress.note_well(now)
         if run.progress.stalled_seconds() < STALL_SECONDS:
-            if not run.is_slow and self._is_slow(run, now):
+            if not run.is_slow and self._is_slow(run):
                 run.is_slow = True
                 self._note_bad(run)
             if run.is_slow and self._would_gain(run, now):
@@ -795,26 +792,25 @@
         self._note_bad(run)
         self._stop_soon(run)
 
-    def _is_slow(self, run: TrackedRun, now: float) -> bool:
+    def _is_slow(self, run: TrackedRun) -> bool:
         """Tell whether a run takes much longer than its like elsewhere."""
-        if run.step.lasts or run.progress.percent < MIN_PROGRESS_PERCENT:
+        seconds = run.progress.projected_seconds()
+        if run.step.lasts or seconds is None:
             return False
-        usual = self._usual_seconds(run, now)
-        total = (now - run.since) * 100 / run.progress.percent
-        return usual is not None and total > SLOW_FACTOR * usual
+        usual = self._usual_seconds(run)
+        return usual is not None and seconds > SLOW_FACTOR * usual
 
     def _would_gain(self, run: TrackedRun, now: float) -> bool:
         """Tell whether a run on a quarantined worker ends sooner elsewhere."""
         if not self._health.is_quarantined(run.incarnation.worker, now):
             return False
-        usual = self._usual_seconds(run, now)
-        if usual is None:
+        usual = self._usual_seconds(run)
+        left = run.progress.remaining_seconds()
+        if usual is None or left is None:
             return False
-        elapsed, percent = now - run.since, run.progress.percent
-        left = elapsed * (100 - percent) / percent
         return left > usual + RESTART_SECONDS
 
-    def _usual_seconds(self, run: TrackedRun, now: float) -> float | None:
+    def _usual_seconds(self, run: TrackedRun) -> float | None:
         """Return how long tasks of the same step take on other workers.
 
         Estimates are no measure: on some queues they are off by a factor.
@@ -827,16 +823,13 @@
             if other != worker
         ]
         for sibling in self._runs.runs_of(run.job):
-            progress = sibling.progress
             if (
                 sibling.key[:2] == run.key[:2]
                 and sibling.incarnation.worker != worker
-                and sibling.phase is Phase.RUNNING
-                and progress is not None
-                and progress.percent >= MIN_SIBLING_PERCENT
+                and sibling.progress is not None
+                and (projected := sibling.progress.projected_seconds())
             ):
-                elapsed = progress.seen_at - sibling.since
-                seconds.append(elapsed * 100 / progress.percent)
+                seconds.append(projected)
         if len(seconds) < MIN_SIBLINGS:
             return None
         return statistics.median(seconds)
@@ -927,9 +920,10 @@
             self._note_bad(run)
         elif how is End.DONE:
             self._health.note_done(run.incarnation.worker)
-            self._durations.setdefault((run.job, *run.key[:2]), []).append(
-                (run.incarnation.worker, steady_now() - run.since)
-            )
+            if run.is_whole:
+                self._durations.setdefault((run.job, *run.key[:2]), []).append(
+                    (run.incarnation.worker, steady_now() - run.since)
+                )
         logger.info(
             "run ended",
             extra={
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -50,7 +50,8 @@
         was_unanswered: Whether an order to start it got no answer.
         begun_at: When it was ordered, on the steady clock.
         progress: How it advances, or None before the first reading.
-        is_slow: Whether it takes much longer than was estimated.
+        is_slow: Whether it takes much longer than its like elsewhere.
+        is_whole: Whether its start is known and was the task's beginning.
     """
 
     job: JobId
@@ -68,6 +69,7 @@
     begun_at: float = 0.0
     progress: Progress | None = None
     is_slow: bool = False
+    is_whole: bool = False
 
 
 class RunIndex:
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -220,3 +220,16 @@
     simulation.advance(3)
     assert not simulation.leader.runs.by_name
     assert len(simulation.network.history) == 2
+
+
+def test_runs_that_a_new_leader_finds_make_no_worker_look_slow(make):
+    simulation = make(seconds_of=lambda task, run: (4.0, "done"), workers=4)
+    for number in range(3):
+        simulation.submit(f"j{number}", count=3)
+    simulation.advance(3)
+    simulation.take_over()
+    for number in range(3, 5):
+        simulation.submit(f"j{number}", count=3)
+    simulation.advance(12)
+    assert simulation.all_completed()
+    assert {begun.how for begun in simulation.network.history} == {"done"}
--- a/galenarill/workers/health.py
+++ b/galenarill/workers/health.py
@@ -17,6 +17,8 @@
 # How long a suspected worker gets nothing, in seconds; doubled each time.
 QUARANTINE_SECONDS = 3.0
 MAX_QUARANTINE_SECONDS = 24.0
+# Progress between readings from which a pace is told.
+MIN_ADVANCE_PERCENT = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,26 +87,51 @@
         )
 
 
-@dataclasses.dataclass(slots=True)
 class Progress:
-    """How a run advances.
+    """How a run advances, from its first reading on.
 
-    Attributes:
-        percent: Latest progress.
-        moved_at: When it last changed, on the steady clock.
-        seen_at: When it was last read.
+    Example:
+        >>> progress = Progress(20.0, 5.0)
+        >>> progress.note(30.0, 5.5)
+        >>> progress.projected_seconds(), progress.remaining_seconds()
+        (5.0, 3.5)
     """
 
-    percent: float
-    moved_at: float
-    seen_at: float
+    def __init__(self, percent: float, now: float):
+        """Take in the first reading.
+
+        Args:
+            percent: Progress.
+            now: Time on the steady clock.
+        """
+        self.percent = percent
+        self._first = (percent, now)
+        self._moved_at = now
+        self._seen_at = now
 
     def note(self, percent: float, now: float) -> None:
         """Take in a reading."""
         if percent != self.percent:
-            self.percent, self.moved_at = percent, now
-        self.seen_at = now
+            self.percent, self._moved_at = percent, now
+        self._seen_at = now
+
+    def note_well(self, now: float) -> None:
+        """Take in that the run is as it should be without advancing."""
+        self._moved_at = now
 
     def stalled_seconds(self) -> float:
         """Return how long it has surely not advanced."""
-        return self.seen_at - self.moved_at
+        return self._seen_at - self._moved_at
+
+    def projected_seconds(self) -> float | None:
+        """Return how long the whole task takes at this pace, or None."""
+        percent, at = self._first
+        advance = self.percent - percent
+        if advance < MIN_ADVANCE_PERCENT:
+            return None
+        return (self._seen_at - at) * 100 / advance
+
+    def remaining_seconds(self) -> float | None:
+        """Return how long it still takes at this pace, or None."""
+        seconds = self.projected_seconds()
+        return seconds and seconds * (100 - self.percent) / 100
