--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import shutil
 import tempfile
 import time
 
@@ -18,12 +19,24 @@
     async def run():
         with tempfile.TemporaryDirectory(prefix="galenarill-") as folder:
             fleet = LocalFleet(pathlib.Path(folder), BASE, SITE, **options)
-            async with asyncio.timeout(limit), fleet:
-                await scenario(fleet)
+            try:
+                async with asyncio.timeout(limit), fleet:
+                    await scenario(fleet)
+            except Exception as error:
+                error.add_note(f"logs kept in {_keep_logs(folder)}")
+                raise
 
     asyncio.run(run())
 
 
+def _keep_logs(folder):
+    """Copy the processes' logs, since the folder goes with the fleet."""
+    kept = pathlib.Path(tempfile.mkdtemp(prefix="galenarill-failed-"))
+    for file in pathlib.Path(folder).rglob("*.log"):
+        shutil.copy(file, kept)
+    return kept
+
+
 async def eventually(condition, seconds, what):
     """Wait until an asynchronous condition holds, and return how long."""
     began_at = time.monotonic()
