--- a/galenarill/coordinator/machines.py
+++ b/galenarill/coordinator/machines.py
@@ -49,7 +49,7 @@
 # Time for which a machine that was busy is left alone, in seconds.
 BUSY_SECONDS = 1.0
 # A pool keeps what it wanted in the last seconds through a lull.
-LULL_SECONDS = 2.0
+LULL_SECONDS = 1.2
 POOL_LOG_SECONDS = 1.0
 # Share of the fleet that a queue needs in its turn; measured: 11 to 18 of 30.
 SURGE_SHARE = 0.34
--- a/galenarill/pools/plan.py
+++ b/galenarill/pools/plan.py
@@ -16,10 +16,10 @@
 ]
 
 # Share of a pool's room that is planned to be used.
-TARGET_USE = 0.85
+TARGET_USE = 0.95
 # A machine without work for this long may leave, in seconds. Two moves cost
 # as much as a machine that stays for about two seconds.
-IDLE_SECONDS = 1.5
+IDLE_SECONDS = 0.8
 # A machine without work for this long may go where work waits, in seconds.
 LEND_SECONDS = 0.4
 
