--- /dev/null
+++ b/galenarill/placement/tests/test_plan.py
@@ -0,0 +1,117 @@
+"""Tasks are fitted onto workers within every bound."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from galenarill.jobs import GANG, Step, TaskKey
+from galenarill.placement import Budget, Candidate, Room, plan
+from galenarill.routing import Resources
+from galenarill.workers import WorkerReport
+
+
+def room(name, cpu=4, rack="r1", labels=(), **options):
+    report = WorkerReport(
+        name, 1, 1, "p", "", "h:1", "a", rack, (rack, *labels), Resources(cpu)
+    )
+    return Room(report, Resources(cpu, 10**6), **options)
+
+
+def task(job, index=0, tenant="t", **options):
+    step = Step(options.pop("count", 1), Resources(1, 1), **options)
+    return Candidate(job, TaskKey(0, 0, index), step, "p", tenant)
+
+
+def placed(placements):
+    return [
+        (p.candidate.job, [life.worker for _, life in p.members])
+        for p in placements
+    ]
+
+
+def test_a_gang_is_placed_whole_or_not_at_all():
+    rooms = {"p": [room("w1", 2), room("w2", 1)]}
+    assert not plan([task("g", GANG, count=4, is_gang=True)], rooms, {})
+    ((_, workers),) = placed(
+        plan([task("g", GANG, count=3, is_gang=True)], rooms, {})
+    )
+    assert sorted(workers) == ["w1", "w1", "w2"]
+
+
+def test_a_gang_goes_to_one_rack_if_one_has_room():
+    rooms = {
+        "p": [room("w1", 2, "r1"), room("w2", 3, "r2"), room("w3", 1, "r3")]
+    }
+    gang = task("g", GANG, count=3, is_gang=True, wants_same_rack=True)
+    assert placed(plan([gang], rooms, {})) == [("g", ["w2"] * 3)]
+
+
+def test_labels_and_data_decide():
+    rooms = {"p": [room("w1", rack="r1"), room("w2", 9, "r2", ("big",))]}
+    assert placed(plan([task("a", label="big")], rooms, {})) == [("a", ["w2"])]
+    assert not plan([task("a", label="none")], rooms, {})
+    assert placed(plan([task("a", data_rack="r2")], rooms, {})) == [
+        ("a", ["w2"])
+    ]
+
+
+def test_a_suspect_worker_gets_work_only_if_it_is_alone():
+    suspect = room("w1", is_suspect=True)
+    assert placed(plan([task("a")], {"p": [suspect, room("w2")]}, {})) == [
+        ("a", ["w2"])
+    ]
+    assert placed(plan([task("a")], {"p": [suspect]}, {})) == [("a", ["w1"])]
+
+
+def test_a_task_that_fits_nowhere_does_not_hold_up_smaller_ones():
+    big = Candidate("b", TaskKey(0, 0, 0), Step(1, Resources(9)), "p", "t")
+    assert placed(plan([big, task("s")], {"p": [room("w1")]}, {})) == [
+        ("s", ["w1"])
+    ]
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(st.integers(0, 4), min_size=1, max_size=4),
+    st.lists(
+        st.tuples(
+            st.sampled_from("ab"),
+            st.integers(1, 4),
+            st.integers(0, 2),
+            st.booleans(),
+        ),
+        max_size=12,
+    ),
+    st.integers(0, 8),
+)
+def test_no_bound_is_ever_exceeded(sizes, wishes, limit):
+    rooms = {"p": [room(f"w{n}", size) for n, size in enumerate(sizes)]}
+    budgets = {"a": Budget(Resources(limit), Resources())}
+    candidates = []
+    for number, (tenant, count, apart, is_gang) in enumerate(wishes):
+        candidates.append(
+            task(
+                f"j{number}",
+                GANG if is_gang else 0,
+                tenant,
+                count=count if is_gang else 1,
+                max_per_worker=apart,
+                is_gang=is_gang,
+            )
+        )
+    placements = plan(candidates, rooms, budgets)
+    used, by_tenant = {}, {}
+    for placement in placements:
+        candidate = placement.candidate
+        wanted = candidate.step.count if candidate.key.index == GANG else 1
+        assert len(placement.members) == wanted
+        workers = [life.worker for _, life in placement.members]
+        for worker in workers:
+            used[worker] = used.get(worker, 0) + 1
+        most = candidate.step.max_per_worker
+        assert not most or max(map(workers.count, workers)) <= most
+        by_tenant[candidate.tenant] = by_tenant.get(candidate.tenant, 0) + len(
+            workers
+        )
+    for worker, count in used.items():
+        assert count <= sizes[int(worker[1:])]
+    assert not limit or by_tenant.get("a", 0) <= limit
--- /dev/null
+++ b/galenarill/upkeep/tests/test_plan.py
@@ -0,0 +1,71 @@
+"""Waves stay within their limit and the budgets of steps that last."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from galenarill.upkeep import StepPresence, Subject, choose
+
+STEP = ("j", 0, 0)
+
+
+def subject(name, short=0, lasting=0, emptying=None, is_wanted=False):
+    return Subject(
+        name,
+        not short and not lasting,
+        short,
+        {STEP: lasting} if lasting else {},
+        emptying,
+        is_wanted,
+    )
+
+
+def test_idle_machines_go_first():
+    subjects = [subject("a", short=2), subject("b")]
+    choice = choose(subjects, {}, 0, 1, 0.0, 100.0)
+    assert choice.begin == ["b"]
+    assert not choice.empty
+
+
+def test_a_busy_machine_is_emptied_and_waited_for():
+    choice = choose([subject("a", short=2)], {}, 0, 1, 0.0, 100.0)
+    assert choice.empty == ["a"]
+    assert not choice.begin
+    waiting = [subject("a", short=1, emptying=0.0)]
+    assert not choose(waiting, {}, 0, 1, 50.0, 100.0).begin
+    assert choose(waiting, {}, 0, 1, 95.0, 100.0).begin == ["a"]
+
+
+def test_two_tasks_of_one_step_leave_one_by_one():
+    steps = {STEP: StepPresence(1, 0)}
+    choice = choose([subject("a", lasting=2)], steps, 0, 1, 0.0, 100.0)
+    assert choice.evacuate == [("a", STEP)]
+    assert not choice.begin
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 2), st.integers(0, 2), st.booleans()),
+        max_size=8,
+    ),
+    st.integers(0, 3),
+    st.integers(1, 4),
+    st.integers(0, 3),
+    st.integers(0, 4),
+    st.sampled_from([0.0, 90.0, 200.0]),
+)
+def test_limits_and_budgets_hold(machines, down, at_once, may_miss, away, now):
+    subjects = [
+        subject(f"m{n}", short, lasting, 0.0 if emptying else None)
+        for n, (short, lasting, emptying) in enumerate(machines)
+    ]
+    steps = {STEP: StepPresence(may_miss, away)}
+    choice = choose(subjects, steps, down, at_once, now, 100.0)
+    assert down + len(choice.begin) <= max(at_once, down)
+    ended = sum(
+        subject.lasting.get(STEP, 0)
+        for subject in subjects
+        if subject.machine in choice.begin
+    ) + len(choice.evacuate)
+    if ended:
+        assert away + ended <= max(1, may_miss)
