Share a full fleet among tenants by their weights

Tasks of one rank go in turns of the tenant with the least dominant share for its weight, with its most urgent task.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -1,6 +1,7 @@
 """The scheduler of one term: leases, starts, stops and ends of runs."""
 
 import asyncio
+import itertools
 import logging
 import statistics
 from collections.abc import Callable
@@ -31,6 +32,7 @@
     estimated_seconds,
     plan,
     rank,
+    take_turns,
 )
 from galenarill.pools import PoolLoad
 from galenarill.routing import Resources
@@ -476,10 +478,33 @@
         ranked.sort(key=lambda entry: entry[:3])
         # Tasks of one step and occurrence count together.
         beside: dict[tuple, dict[WorkerId, int]] = {}
-        return [
-            self._candidate(job_id, key, pool, beside)
-            for _, job_id, key, pool in ranked
-        ]
+        candidates = []
+        used, weights, total = self._shares()
+        for _, group in itertools.groupby(ranked, lambda entry: entry[0][:2]):
+            entries = [
+                (candidate.tenant, candidate.step.need, candidate)
+                for _, job_id, key, pool in group
+                if (candidate := self._candidate(job_id, key, pool, beside))
+            ]
+            ordered = take_turns(entries, used, weights, total)
+            for candidate in ordered:
+                tenant = candidate.tenant
+                used[tenant] = used.get(tenant, Resources()).plus(
+                    candidate.step.need
+                )
+            candidates += ordered
+        return candidates
+
+    def _shares(self) -> tuple[dict, dict, Resources]:
+        """Return what tenants use, their weights, and all capacity."""
+        total = Resources()
+        for contact in self._contacts.values():
+            total = total.plus(contact.report.capacity)
+        weights = {
+            tenant.name: tenant.weight
+            for tenant in self._state.routing.configuration.tenants
+        }
+        return dict(self._runs.used), weights, total
 
     def _candidate(
         self, job_id: JobId, key: TaskKey, pool: PoolId, beside: dict
--- a/galenarill/placement/__init__.py
+++ b/galenarill/placement/__init__.py
@@ -2,3 +2,4 @@
 
 from galenarill.placement.order import *  # noqa: F403
 from galenarill.placement.plan import *  # noqa: F403
+from galenarill.placement.shares import *  # noqa: F403
--- /dev/null
+++ b/galenarill/placement/shares.py
@@ -0,0 +1,77 @@
+"""Turns of the tenants while there is not enough room for all."""
+
+import heapq
+from collections.abc import Iterable
+
+from galenarill.routing import Resources
+from galenarill.world import TeamId
+
+__all__ = ["take_turns"]
+
+
+def take_turns(
+    entries: Iterable[tuple[TeamId, Resources, object]],
+    used: dict[TeamId, Resources],
+    weights: dict[TeamId, float],
+    total: Resources,
+) -> list:
+    """Order tasks so that tenants fill up in proportion to their weights.
+
+    The tenant with the least dominant share for its weight goes next, with
+    its own first task. While all fits, the order makes no difference.
+
+    Args:
+        entries: Tenant, need and the task itself, the most urgent first.
+        used: What each tenant has running.
+        weights: Weight of each tenant; 1 for one that is missing.
+        total: Capacity of all workers.
+
+    Returns:
+        The tasks.
+
+    Example:
+        >>> one = Resources(1)
+        >>> entries = [("a", one, "a1"), ("a", one, "a2"), ("b", one, "b1")]
+        >>> take_turns(entries, {}, {"a": 1, "b": 1}, Resources(4))
+        ['a1', 'b1', 'a2']
+
+    References:
+        Ghodsi et al. Dominant Resource Fairness. NSDI 2011.
+    """
+    queues: dict[TeamId, list] = {}
+    for position, (tenant, need, task) in enumerate(entries):
+        queues.setdefault(tenant, []).append((position, need, task))
+    for queue in queues.values():
+        queue.reverse()
+    taken = {tenant: used.get(tenant, Resources()) for tenant in queues}
+
+    def share(tenant: TeamId) -> float:
+        return _dominant_share(taken[tenant], total) / weights.get(tenant, 1.0)
+
+    heap = [(share(tenant), q[-1][0], tenant) for tenant, q in queues.items()]
+    heapq.heapify(heap)
+    ordered = []
+    while heap:
+        _, _, tenant = heapq.heappop(heap)
+        _, need, task = queues[tenant].pop()
+        ordered.append(task)
+        taken[tenant] = taken[tenant].plus(need)
+        if queues[tenant]:
+            following = queues[tenant][-1][0]
+            heapq.heappush(heap, (share(tenant), following, tenant))
+    return ordered
+
+
+def _dominant_share(used: Resources, total: Resources) -> float:
+    return max(
+        (
+            amount / room
+            for amount, room in (
+                (used.cpu, total.cpu),
+                (used.mem_mb, total.mem_mb),
+                (used.gpu, total.gpu),
+            )
+            if room
+        ),
+        default=0.0,
+    )
