--- /dev/null
+++ b/galenarill/coordinator/placing.py
@@ -0,0 +1,296 @@
+"""Places ready tasks: what waits, where there is room, what is proposed."""
+
+import asyncio
+import itertools
+import logging
+
+from galenarill.coordinator.orders import RunOrders
+from galenarill.coordinator.progress import ProgressWatch
+from galenarill.coordinator.runs import Phase, TrackedRun, ready_tasks
+from galenarill.coordinator.term import Term
+from galenarill.jobs import Job, JobStatus, StartRun, Step, TaskKey
+from galenarill.placement import (
+    Budget,
+    Candidate,
+    Placement,
+    Room,
+    plan,
+    rank,
+    take_turns,
+)
+from galenarill.routing import Resources
+from galenarill.telemetry import meter
+from galenarill.workers import Contact
+from galenarill.world import (
+    JobId,
+    PoolId,
+    TeamId,
+    WorkerId,
+    steady_now,
+    wall_now,
+)
+
+__all__ = ["Placer"]
+
+logger = logging.getLogger(__name__)
+
+_FIRST_START = meter().create_histogram(
+    "galenarill_first_start_seconds", unit="s"
+)
+
+# Pause between two rounds of placement, in seconds: starts of one burst share
+# a sync of the log.
+PLACE_SECONDS = 0.01
+# Silence of a worker after which tasks that may have copies get one, in
+# seconds: longer than a renewal that is held open.
+DOUBT_SECONDS = 1.0
+
+
+class Placer:
+    """Fits ready tasks onto workers, and proposes their starts."""
+
+    def __init__(self, term: Term, orders: RunOrders, progress: ProgressWatch):
+        """Place tasks in `term`."""
+        self._term = term
+        self._orders = orders
+        self._progress = progress
+        self._ready: dict[JobId, list[TaskKey]] = {}
+        # Tasks whose start is proposed but not applied yet: the worker, step
+        # and tenant of each member.
+        self._proposed: dict[
+            tuple[JobId, TaskKey], list[tuple[WorkerId, Step, TeamId]]
+        ] = {}
+        self._cordoned: set[WorkerId] = set()
+        self.unplaced: dict[PoolId, list[Step]] = {}
+
+    async def run(self) -> None:
+        """Place tasks whenever something has changed, until cancelled."""
+        while True:
+            await self._term.wake.wait()
+            self._term.wake.clear()
+            if self._term.is_confirmed():
+                self._place()
+            await asyncio.sleep(PLACE_SECONDS)
+
+    def cordon(self, worker: WorkerId) -> None:
+        """Start nothing more on a worker."""
+        self._cordoned.add(worker)
+
+    def uncordon(self, worker: WorkerId) -> None:
+        """Let a worker take starts again."""
+        self._cordoned.discard(worker)
+        self._term.wake.set()
+
+    def is_proposed_on(self, worker: WorkerId) -> bool:
+        """Tell whether a start on a worker is proposed."""
+        return any(
+            worker == member
+            for members in self._proposed.values()
+            for member, _, _ in members
+        )
+
+    def refresh(self, job_id: JobId) -> None:
+        """Find anew which tasks of a job are ready."""
+        job = self._term.state.jobs.get(job_id)
+        ready = ready_tasks(job, wall_now()) if job is not None else []
+        if job is not None and job.status is JobStatus.ACTIVE:
+            ready += self._doubtful_tasks(job)
+        if ready:
+            self._ready[job_id] = ready
+        else:
+            self._ready.pop(job_id, None)
+
+    def _doubtful_tasks(self, job: Job) -> list[TaskKey]:
+        """Return tasks that may have a second copy, and should."""
+        return [
+            run.key
+            for run in self._term.runs.runs_of(job.id)
+            if run.step.is_speculative
+            and not run.step.is_gang
+            and not job.tasks[run.key].is_done
+            and len(job.tasks[run.key].runs) == 1
+            and self._is_doubtful(run)
+        ]
+
+    def _is_doubtful(self, run: TrackedRun) -> bool:
+        contact = self._term.contact_of(run)
+        limit = steady_now() - DOUBT_SECONDS
+        if contact is None or contact.answered_at < limit:
+            return True
+        return run.is_slow and run.phase is Phase.RUNNING
+
+    def _place(self) -> None:
+        candidates = self._candidates()
+        placements = plan(candidates, self._rooms(), self._budgets())
+        placed = {(p.candidate.job, p.candidate.key) for p in placements}
+        self.unplaced = {}
+        for candidate in candidates:
+            if (candidate.job, candidate.key) not in placed:
+                steps = self.unplaced.setdefault(candidate.pool, [])
+                steps.append(candidate.step)
+        if placements:
+            commands = [
+                self._propose(placement, len(candidates))
+                for placement in placements
+            ]
+            future = self._term.propose(*commands)
+            future.add_done_callback(lambda _: self._settle(placed))
+
+    def _propose(self, placement: Placement, waiting: int) -> StartRun:
+        candidate = placement.candidate
+        job = self._term.state.jobs[candidate.job]
+        task = job.tasks.get(candidate.key)
+        number = (task.last_run if task else 0) + 1
+        if not job.has_started:
+            _FIRST_START.record(max(0.0, wall_now() - job.accepted_at))
+        self._proposed[candidate.job, candidate.key] = [
+            (life.worker, candidate.step, candidate.tenant)
+            for _, life in placement.members
+        ]
+        logger.info(
+            "task placed",
+            extra={
+                "job": candidate.job,
+                "task": list(candidate.key),
+                "run": number,
+                "workers": [life.worker for _, life in placement.members],
+                "waiting": waiting,
+            },
+        )
+        members = tuple(
+            (member, life.worker, life.born)
+            for member, life in placement.members
+        )
+        return StartRun(candidate.job, *candidate.key, number, members)
+
+    def _settle(self, places: set) -> None:
+        for place in places:
+            self._proposed.pop(place, None)
+        self._term.wake.set()
+
+    def _candidates(self) -> list[Candidate]:
+        """Return ready tasks, the most urgent first."""
+        wall = wall_now()
+        ranked = []
+        for job_id, keys in self._ready.items():
+            job = self._term.state.jobs[job_id]
+            queue = self._term.state.routing.queue(job.queue)
+            if queue is None:
+                continue
+            for key in keys:
+                if (job_id, key) not in self._proposed:
+                    order = rank(job, key, queue, wall)
+                    ranked.append((order, job_id, key, queue.pool))
+        ranked.sort(key=lambda entry: entry[:3])
+        # Tasks of one step and occurrence count together.
+        beside: dict[tuple, dict[WorkerId, int]] = {}
+        candidates: list[Candidate] = []
+        used, weights, total = self._shares()
+        for _, group in itertools.groupby(ranked, lambda entry: entry[0][:2]):
+            entries = []
+            for _, job_id, key, pool in group:
+                candidate = self._candidate(job_id, key, pool, beside)
+                entries.append(
+                    (candidate.tenant, candidate.step.need, candidate)
+                )
+            for candidate in take_turns(entries, used, weights, total):
+                candidates.append(candidate)
+                _add(used, candidate.tenant, candidate.step.need)
+        return candidates
+
+    def _shares(self) -> tuple[dict, dict, Resources]:
+        """Return what tenants use, their weights, and all capacity."""
+        total = Resources()
+        for contact in self._term.contacts.values():
+            total = total.plus(contact.report.capacity)
+        weights = {
+            tenant.name: tenant.weight
+            for tenant in self._term.state.routing.configuration.tenants
+        }
+        return dict(self._term.runs.used), weights, total
+
+    def _candidate(
+        self, job_id: JobId, key: TaskKey, pool: PoolId, beside: dict
+    ) -> Candidate:
+        job = self._term.state.jobs[job_id]
+        step = job.spec.steps[key.step]
+        place = (job_id, *key[:2])
+        if step.max_per_worker and place not in beside:
+            beside[place] = self._beside(job_id, key)
+        return Candidate(
+            job_id,
+            key,
+            step,
+            pool,
+            job.tenant,
+            self._workers_to_avoid(job, key),
+            beside.get(place, {}),
+        )
+
+    def _workers_to_avoid(self, job: Job, key: TaskKey) -> frozenset[WorkerId]:
+        """Return where a task has failed, or has a copy already."""
+        avoid = self._progress.failed_on(job.id, key)
+        task = job.tasks.get(key)
+        for run in task.runs if task is not None else ():
+            avoid.update(life.worker for life in run.members.values())
+        return frozenset(avoid)
+
+    def _beside(self, job: JobId, key: TaskKey) -> dict[WorkerId, int]:
+        """Return how many tasks of a step each worker has."""
+        counts: dict[WorkerId, int] = {}
+        for run in self._term.runs.runs_of(job):
+            if run.key[:2] == key[:2]:
+                worker = run.incarnation.worker
+                counts[worker] = counts.get(worker, 0) + 1
+        for (other, place), members in self._proposed.items():
+            if other == job and place[:2] == key[:2]:
+                for worker, _, _ in members:
+                    counts[worker] = counts.get(worker, 0) + 1
+        return counts
+
+    def _rooms(self) -> dict[PoolId, list[Room]]:
+        now = steady_now()
+        proposed: dict[WorkerId, Resources] = {}
+        for members in self._proposed.values():
+            for worker, step, _ in members:
+                _add(proposed, worker, step.reserved)
+        rooms: dict[PoolId, list[Room]] = {}
+        for worker, contact in self._term.contacts.items():
+            if not self._takes_starts(contact, now):
+                continue
+            report = contact.report
+            free = report.capacity.minus(
+                self._term.runs.reserved.get(worker, Resources())
+            ).minus(proposed.get(worker, Resources()))
+            is_suspect = self._progress.health.is_quarantined(worker, now)
+            rooms.setdefault(report.pool, []).append(
+                Room(report, free, is_suspect)
+            )
+        return rooms
+
+    def _takes_starts(self, contact: Contact, now: float) -> bool:
+        report = contact.report
+        return (
+            contact.is_read
+            and self._term.is_answering(contact)
+            and not report.is_draining
+            and report.worker not in self._cordoned
+            and self._term.state.draining.get(report.worker) != report.born
+            and not self._orders.has_refused(report.worker, now)
+        )
+
+    def _budgets(self) -> dict[TeamId, Budget]:
+        used = dict(self._term.runs.used)
+        for members in self._proposed.values():
+            for _, step, tenant in members:
+                _add(used, tenant, step.need)
+        return {
+            tenant.name: Budget(
+                tenant.upper_limit, used.get(tenant.name, Resources())
+            )
+            for tenant in self._term.state.routing.configuration.tenants
+        }
+
+
+def _add(amounts: dict, key, amount: Resources) -> None:
+    amounts[key] = amounts.get(key, Resources()).plus(amount)
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -93,7 +93,7 @@
 
     def update(
         self, state: ClusterState, job_id: JobId, phase: Phase, now: float
-    ) -> tuple[list[TrackedRun], list[TrackedRun]]:
+    ) -> list[TrackedRun]:
         """Take in what has changed in a job.
 
         Args:
@@ -103,17 +103,16 @@
             now: Time on the steady clock.
 
         Returns:
-            Runs that are new, and runs that are over.
+            Runs that are new.
         """
         job = state.jobs.get(job_id)
         known = self._by_job.get(job_id, {})
         current = _members(job) if job is not None else {}
-        added, removed = [], []
+        added = []
         for place, run in list(known.items()):
             if place not in current:
                 del known[place]
                 self._remove(run)
-                removed.append(run)
         for place, incarnation in current.items():
             if place not in known:
                 key, number, member = place
@@ -135,7 +134,7 @@
                 added.append(run)
         if not self._by_job.get(job_id):
             self._by_job.pop(job_id, None)
-        return added, removed
+        return added
 
     def _add(self, run: TrackedRun) -> None:
         worker = run.incarnation.worker
--- /dev/null
+++ b/galenarill/coordinator/term.py
@@ -0,0 +1,107 @@
+"""What the parts of one term's scheduler share."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from galenarill.coordinator.runs import RunIndex, TrackedRun
+from galenarill.errors import NotLeaderError
+from galenarill.jobs import ClusterState, JobStatus
+from galenarill.workers import Contact, OrderAnswer, WorkerClient
+from galenarill.world import WorkerId, steady_now
+
+__all__ = ["Term", "ANSWER_SECONDS", "RETRY_SECONDS"]
+
+logger = logging.getLogger(__name__)
+
+# A worker that has not answered for this long gets no starts, in seconds: a
+# renewal that is held open and the time for its answer.
+ANSWER_SECONDS = 1.6
+# Pause before an order is tried again, in seconds.
+RETRY_SECONDS = 0.15
+
+
+class Term:
+    """State, workers and runs as the leader of one term sees them.
+
+    Attributes:
+        number: Number of the term, which is also the fencing token.
+        state: Replicated state.
+        client: Sends orders to workers.
+        propose: Proposes commands, and returns a future of their commit.
+        is_confirmed: Tells whether this coordinator surely leads.
+        since: When the term began here, on the steady clock.
+        runs: Runs that may be in progress.
+        contacts: What is known of each worker's present life.
+        wake: Set when tasks may be placed.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        state: ClusterState,
+        client: WorkerClient,
+        propose: Callable[..., asyncio.Future],
+        is_confirmed: Callable[[], bool],
+    ):
+        """Begin a term without any knowledge of workers and runs."""
+        self.number = number
+        self.state = state
+        self.client = client
+        self.propose = propose
+        self.is_confirmed = is_confirmed
+        self.since = steady_now()
+        self.runs = RunIndex()
+        self.contacts: dict[WorkerId, Contact] = {}
+        self.wake = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Run a coroutine until it ends or the term does."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    def stop(self) -> None:
+        """Cancel all that was spawned."""
+        for task in self._tasks:
+            task.cancel()
+
+    def contact_of(self, run: TrackedRun) -> Contact | None:
+        """Return the life of a worker that a run was given to, if present."""
+        contact = self.contacts.get(run.incarnation.worker)
+        if contact is None or contact.report.born != run.incarnation.born:
+            return None
+        return contact
+
+    def is_answering(self, contact: Contact) -> bool:
+        """Tell whether a worker has answered of late."""
+        return contact.answered_at > steady_now() - ANSWER_SECONDS
+
+    def is_tracked(self, run: TrackedRun) -> bool:
+        """Tell whether a run may still be in progress."""
+        return self.runs.by_name.get((run.name, run.number)) is run
+
+    def is_wanted(self, run: TrackedRun) -> bool:
+        """Tell whether a run should be in progress."""
+        job = self.state.jobs.get(run.job)
+        return (
+            self.is_tracked(run)
+            and job is not None
+            and job.status is JobStatus.ACTIVE
+        )
+
+    def note_clock(self, contact: Contact, answer: OrderAnswer) -> None:
+        """Take in the reading of a worker's clock that came with an answer."""
+        if answer.clock_ms is not None:
+            contact.note_clock(answer.clock_ms, steady_now())
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        if isinstance(task.exception(), NotLeaderError):
+            # The next leader does what was left undone.
+            return
+        logger.error("scheduler step failed", exc_info=task.exception())
