--- a/galenarill/gateway/node.py
+++ b/galenarill/gateway/node.py
@@ -48,8 +48,12 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the balancer should send callers here."""
-        return not self._is_leaving and bool(self._mesh.connected)
+        """Whether the balancer should send callers here.
+
+        A gateway in a zone that is cut off may still be linked to a coordinator
+        there; callers are served elsewhere then.
+        """
+        return not self._is_leaving and self._calls.leader is not None
 
     def add_seeds(self, settings: NodeSettings) -> None:
         """Take in seeds that were not known before."""
