Split the care of machines, and close two races that a slow log opens

Found while splitting: (1) an upkeep whose intent was not committed yet did not count against the wave's limit, nor its tasks against their step's budget; (2) commands of one turn share a future, so a caller that was cancelled cancelled what the others waited for, and the log's driver then failed. Tests, red before: test_a_slow_log_does_not_let_a_wave_exceed_its_limit, ..._a_step_ miss_more_than_it_may, test_a_cancelled_caller_leaves_the_others_alone.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -211,14 +211,22 @@
                 for step in steps:
                     load.waiting = load.waiting.plus(_by_arrival(step))
 
-    def lasting_steps(self) -> dict[tuple, StepPresence]:
-        """Return how many tasks of each step that lasts are not at work."""
+    def lasting_steps(
+        self, leaving: frozenset[WorkerId] = frozenset()
+    ) -> dict[tuple, StepPresence]:
+        """Return how many tasks of each step that lasts are not at work.
+
+        Args:
+            leaving: Workers whose tasks count as away already.
+        """
         steps: dict[tuple, StepPresence] = {}
         for job_id, job in self._state.jobs.items():
             if job.status is not JobStatus.ACTIVE:
                 continue
             present: dict[tuple[int, int], set] = {}
             for run in self.runs.runs_of(job_id):
+                if run.incarnation.worker in leaving:
+                    continue
                 if run.step.lasts and self._is_at_work(run):
                     members = present.setdefault(run.key[:2], set())
                     members.add((run.key.index, run.member))
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -24,10 +24,13 @@
     restore_replica,
 )
 from galenarill.coordinator.answers import Answers
+from galenarill.coordinator.fleet import Fleet
 from galenarill.coordinator.leader import Leader
-from galenarill.coordinator.machines import MachineKeeper
+from galenarill.coordinator.machines import keep_machines
+from galenarill.coordinator.moves import Mover
 from galenarill.coordinator.proposals import Proposals
 from galenarill.coordinator.service import CoordinatorService
+from galenarill.coordinator.waves import WaveKeeper
 from galenarill.errors import ProtocolError
 from galenarill.jobs import ClusterState, decode_commands
 from galenarill.links import Mesh
@@ -325,8 +328,8 @@
         )
         self._leader.start()
         if self._machine_client is not None:
-            keeper = MachineKeeper(
-                self._leader,
+            fleet = Fleet(
+                term,
                 self._state,
                 self._machine_client,
                 self._proposals.propose,
@@ -334,7 +337,13 @@
                 settings.vm,
                 settings.machine_lease_ms / 1000,
             )
-            self._keeper = asyncio.create_task(keeper.run())
+            mover = Mover(self._leader, self._state, fleet)
+            waves = WaveKeeper(
+                self._leader, self._state, fleet, self._proposals.propose
+            )
+            self._keeper = asyncio.create_task(
+                keep_machines(fleet, mover, waves)
+            )
         self._broadcast_presence()
 
     def _stop_leading(self) -> None:
--- a/galenarill/coordinator/proposals.py
+++ b/galenarill/coordinator/proposals.py
@@ -37,11 +37,12 @@
         """
         if self._batch_future is None:
             self._batch_future = self._loop.create_future()
-            # Who proposes need not look at the outcome.
-            self._batch_future.add_done_callback(lambda done: done.exception())
             self._loop.call_soon(self._flush)
         self._batch.extend(commands)
-        return self._batch_future
+        # A caller that is cancelled must not cancel what the others wait for.
+        future = asyncio.shield(self._batch_future)
+        future.add_done_callback(_note_seen)
+        return future
 
     def note_applied(self, index: int, term: int) -> None:
         """Take in that an entry is applied."""
@@ -73,3 +74,9 @@
         self._waiting[index] = (self._replica.term, future)
         begin = steady_now()
         future.add_done_callback(lambda _: _COMMIT.record(steady_now() - begin))
+
+
+def _note_seen(future: asyncio.Future) -> None:
+    """Mark an outcome as seen: who proposes need not look at it."""
+    if not future.cancelled():
+        future.exception()
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -42,7 +42,15 @@
 class Simulation:
     """One log, one leader at a time, and workers behind a bad network."""
 
-    def __init__(self, seed=0, seconds_of=None, workers=3, limit=0):
+    def __init__(
+        self,
+        seed=0,
+        seconds_of=None,
+        workers=3,
+        limit=0,
+        commit_seconds=COMMIT_SECONDS,
+    ):
+        self.commit_seconds = commit_seconds
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
         self.rng = random.Random(seed)
@@ -107,19 +115,22 @@
 
     def propose(self, term, *commands):
         future = self.loop.create_future()
-        future.add_done_callback(lambda done: done.exception())
+        future.add_done_callback(
+            lambda done: None if done.cancelled() else done.exception()
+        )
         # An entry of a deposed leader may be committed all the same.
         survives = self.rng.random() < 0.5
 
         def commit():
             if self.term != term and not survives:
-                future.set_exception(NotLeaderError("lost the lead"))
+                if not future.done():
+                    future.set_exception(NotLeaderError("lost the lead"))
                 return
             self.apply(decode_commands(encode_commands(list(commands))))
             if not future.done():
                 future.set_result(None)
 
-        self.loop.call_later(COMMIT_SECONDS, commit)
+        self.loop.call_later(self.commit_seconds, commit)
         return future
 
     def apply(self, commands):
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -4,8 +4,11 @@
 
 import pytest
 
-from galenarill.coordinator.machines import MachineKeeper
+from galenarill.coordinator.fleet import Fleet
+from galenarill.coordinator.machines import keep_machines
+from galenarill.coordinator.moves import Mover
 from galenarill.coordinator.tests.simulation import Simulation
+from galenarill.coordinator.waves import WaveKeeper
 from galenarill.jobs import JobStatus, OrderUpkeep, StartWave
 from galenarill.pools import (
     Machine,
@@ -106,16 +109,27 @@
 
 def keep(simulation, machines):
     term = simulation.term
-    keeper = MachineKeeper(
-        simulation.leader,
+
+    def propose(*commands):
+        return simulation.propose(term, *commands)
+
+    fleet = Fleet(
+        term,
         simulation.state,
         machines,
-        lambda *commands: simulation.propose(term, *commands),
+        propose,
         lambda: simulation.term == term,
         f"c{term}",
         3.0,
     )
-    simulation.keeper = asyncio.ensure_future(keeper.run())
+    leader, state = simulation.leader, simulation.state
+    simulation.keeper = asyncio.ensure_future(
+        keep_machines(
+            fleet,
+            Mover(leader, state, fleet),
+            WaveKeeper(leader, state, fleet, propose),
+        )
+    )
 
 
 def start_wave(simulation, machines, at_once, seconds=60.0):
@@ -219,3 +233,30 @@
     later = {order[1] for order in machines.orders[before:]}
     assert later, "machines without a recent order move at once"
     assert not later & ordered
+
+
+def test_a_slow_log_does_not_let_a_wave_exceed_its_limit(make):
+    pools = {f"m{n}": "spare" for n in range(6)}
+    simulation, machines = make(pools, commit_seconds=0.6)
+    start_wave(simulation, pools, at_once=2)
+    simulation.advance(40)
+    assert simulation.state.waves[1].is_completed
+    assert machines.most_down <= 2
+
+
+def test_a_slow_log_does_not_let_a_step_miss_more_than_it_may(make):
+    pools = {f"n{n}": "pool" for n in range(4)}
+    simulation, machines = make(
+        pools, seconds_of=lambda *_: (999.0, "done"), commit_seconds=0.6
+    )
+    simulation.submit("j", count=3, lasts=True, max_per_worker=1, may_miss=1)
+    simulation.advance(3)
+    start_wave(simulation, pools, at_once=4)
+    for _ in range(600):
+        simulation.advance(0.1)
+        running = sum(
+            begun.ended_at is None for begun in simulation.network.history
+        )
+        assert running >= 2
+    assert simulation.state.waves[1].is_completed
+    assert machines.maintained == set(pools)
--- /dev/null
+++ b/galenarill/coordinator/tests/test_proposals.py
@@ -0,0 +1,82 @@
+"""Commands of one turn share an entry, and each caller hears of it."""
+
+import asyncio
+
+import pytest
+
+from galenarill.consensus import Role
+from galenarill.coordinator.proposals import Proposals
+from galenarill.errors import NotLeaderError
+from galenarill.jobs import CancelJob, decode_commands
+
+
+class Log:
+    """A log whose entries are applied when the test says so."""
+
+    role = Role.LEADER
+    term = 1
+
+    def __init__(self):
+        self.entries = []
+
+    def propose(self, data):
+        self.entries.append(decode_commands(data))
+        return len(self.entries)
+
+
+def run(scenario):
+    async def main():
+        log = Log()
+        await scenario(log, Proposals(log, log))
+
+    asyncio.run(main())
+
+
+def test_commands_of_one_turn_share_an_entry():
+    async def scenario(log, proposals):
+        futures = [proposals.propose(CancelJob(j, 1.0)) for j in "ab"]
+        await asyncio.sleep(0)
+        assert [len(entry) for entry in log.entries] == [2]
+        proposals.note_applied(1, 1)
+        await asyncio.gather(*futures)
+
+    run(scenario)
+
+
+def test_a_cancelled_caller_leaves_the_others_alone():
+    async def scenario(log, proposals):
+        async def wait(job):
+            await proposals.propose(CancelJob(job, 1.0))
+            return job
+
+        tasks = [asyncio.create_task(wait(job)) for job in "abc"]
+        await asyncio.sleep(0.01)
+        tasks[0].cancel()
+        await asyncio.sleep(0)
+        proposals.note_applied(1, 1)
+        assert await asyncio.gather(*tasks[1:]) == ["b", "c"]
+
+    run(scenario)
+
+
+def test_a_lost_lead_is_told_to_all():
+    async def scenario(log, proposals):
+        future = proposals.propose(CancelJob("a", 1.0))
+        await asyncio.sleep(0)
+        log.role = Role.FOLLOWER
+        proposals.note_turn()
+        with pytest.raises(NotLeaderError):
+            await future
+
+    run(scenario)
+
+
+def test_an_entry_of_another_term_is_not_ours():
+    async def scenario(log, proposals):
+        future = proposals.propose(CancelJob("a", 1.0))
+        await asyncio.sleep(0)
+        proposals.note_applied(1, 2)
+        with pytest.raises(NotLeaderError):
+            await future
+
+    run(scenario)
--- /dev/null
+++ b/galenarill/coordinator/waves.py
@@ -0,0 +1,189 @@
+"""Waves of upkeep: which machines are ordered, and which are back."""
+
+import logging
+from collections.abc import Callable
+
+from galenarill.coordinator.fleet import Fleet
+from galenarill.coordinator.leader import Leader
+from galenarill.jobs import ClusterState, FinishUpkeep, Wave
+from galenarill.pools import Machine, MachineState, MachineVerdict
+from galenarill.upkeep import Subject, choose
+from galenarill.world import MachineId, WorkerId, steady_now, wall_now
+
+__all__ = ["WaveKeeper"]
+
+logger = logging.getLogger(__name__)
+
+
+class WaveKeeper:
+    """Carries out waves within their limits and the steps' budgets."""
+
+    def __init__(
+        self,
+        leader: Leader,
+        state: ClusterState,
+        fleet: Fleet,
+        propose: Callable,
+    ):
+        """Maintain machines of `fleet`.
+
+        Args:
+            leader: Scheduler of the term.
+            state: Replicated state.
+            fleet: Machines and orders on them.
+            propose: Proposes commands, and returns a future of their commit.
+        """
+        self._leader = leader
+        self._state = state
+        self._fleet = fleet
+        self._propose = propose
+        # Machines with an order under way, which the log may not hold yet, and
+        # the worker that it ends.
+        self._open: dict[MachineId, WorkerId] = {}
+        # When the upkeep of a machine was acknowledged, on the steady clock.
+        self._acknowledged: dict[MachineId, float] = {}
+
+    @property
+    def is_working(self) -> bool:
+        """Whether any wave is not completed."""
+        return any(not wave.is_completed for wave in self._state.waves.values())
+
+    def step(self) -> None:
+        """Finish what is back, and order what is due now."""
+        for number, wave in self._state.waves.items():
+            if not wave.is_completed and self._fleet.machines:
+                self._note_back(number, wave)
+                self._order_again(number, wave)
+                self._choose(number, wave)
+
+    def _note_back(self, number: int, wave: Wave) -> None:
+        for machine_id in wave.machines:
+            machine = self._fleet.machines.get(machine_id)
+            acknowledged = self._acknowledged.get(machine_id)
+            if machine_id in wave.finished:
+                continue
+            if machine is None:
+                self._finish(number, machine_id, "it is gone")
+            elif (
+                acknowledged is not None
+                and self._fleet.read_at > acknowledged
+                and machine.state is MachineState.UP
+            ):
+                self._finish(number, machine_id, "it is back")
+
+    def _finish(self, number: int, machine: MachineId, why: str) -> None:
+        logger.info(
+            "upkeep finished",
+            extra={"wave": number, "machine": machine, "why": why},
+        )
+        self._acknowledged.pop(machine, None)
+        self._fleet.emptying.pop(machine, None)
+        self._propose(FinishUpkeep(number, machine))
+
+    def _order_again(self, number: int, wave: Wave) -> None:
+        """Order what an earlier leader may have ordered, or was refused."""
+        for machine_id in wave.ordered:
+            machine = self._fleet.machines.get(machine_id)
+            if (
+                machine is not None
+                and machine_id not in wave.finished
+                and machine_id not in self._acknowledged
+                and machine_id not in self._open
+                and self._fleet.is_ours(machine_id)
+                and not self._fleet.is_busy(machine_id)
+            ):
+                self._begin(number, machine, is_repeated=True)
+
+    def _choose(self, number: int, wave: Wave) -> None:
+        pending = wave.ordered.keys() - wave.finished
+        down = len(pending | self._open.keys() & set(wave.machines))
+        subjects = [
+            subject
+            for machine_id in wave.machines
+            if (subject := self._subject(wave, machine_id)) is not None
+        ]
+        choice = choose(
+            subjects,
+            self._leader.lasting_steps(frozenset(self._open.values())),
+            down,
+            wave.at_once,
+            wall_now(),
+            wave.deadline_at,
+        )
+        machines = self._fleet.machines
+        for machine_id in choice.empty + choice.begin:
+            self._fleet.emptying.setdefault(machine_id, wall_now())
+            self._leader.cordon(machines[machine_id].worker)
+        for machine_id, place in choice.evacuate:
+            self._leader.evacuate(machines[machine_id].worker, place)
+        for machine_id in choice.begin:
+            self._begin(number, machines[machine_id], is_repeated=False)
+
+    def _subject(self, wave: Wave, machine_id: MachineId) -> Subject | None:
+        machine = self._fleet.machines.get(machine_id)
+        if (
+            machine is None
+            or not self._fleet.is_free(machine)
+            or machine_id in wave.ordered
+            or machine_id in wave.finished
+            or machine_id in self._open
+        ):
+            return None
+        lasting: dict = {}
+        short = 0
+        for run in self._leader.runs.on_worker(machine.worker):
+            if run.step.lasts:
+                place = (run.job, run.key.occurrence, run.key.step)
+                lasting[place] = lasting.get(place, 0) + 1
+            else:
+                short += 1
+        return Subject(
+            machine_id,
+            self._leader.is_idle(machine.worker),
+            short,
+            lasting,
+            self._fleet.emptying.get(machine_id),
+            self._leader.waiting_in(machine.pool) > 0,
+        )
+
+    def _begin(
+        self, number: int, machine: Machine, *, is_repeated: bool
+    ) -> None:
+        self._open[machine.id] = machine.worker
+        self._fleet.spawn(self._maintain(number, machine, is_repeated))
+
+    async def _maintain(
+        self, number: int, machine: Machine, is_repeated: bool
+    ) -> None:
+        """Order a machine's upkeep.
+
+        Args:
+            number: Number of the wave.
+            machine: Machine.
+            is_repeated: Whether an earlier leader may have ordered it, so that
+                its present worker may have begun after the upkeep.
+        """
+        life = self._leader.life_of(machine.worker)
+        try:
+            verdict, is_first = await self._fleet.maintain(machine.id, number)
+        finally:
+            del self._open[machine.id]
+            self._fleet.emptying.pop(machine.id, None)
+            if machine.worker:
+                self._leader.uncordon(machine.worker)
+        logger.info(
+            "upkeep ordered",
+            extra={
+                "wave": number,
+                "machine": machine.id,
+                "pool": machine.pool,
+                "worker": machine.worker,
+                "verdict": verdict.value,
+            },
+        )
+        if verdict is MachineVerdict.DONE:
+            self._acknowledged[machine.id] = steady_now()
+            if is_first and not is_repeated:
+                self._leader.end_worker(life, "its machine is maintained")
+        elif verdict is MachineVerdict.NOT_OF_WAVE:
+            self._finish(number, machine.id, "the platform disowns it")
