--- /dev/null
+++ b/benchmarks/placing.py
@@ -0,0 +1,112 @@
+"""Slopes of placement, pools and the state of jobs at several sizes."""
+
+import time
+
+from galenarill.jobs import (
+    AcceptJob,
+    ClusterState,
+    JobSpec,
+    StartRun,
+    Step,
+    TaskKey,
+    encode_commands,
+)
+from galenarill.placement import Candidate, Room, plan, take_turns
+from galenarill.pools import Member, PoolLoad, plan_moves
+from galenarill.routing import Resources
+from galenarill.workers import WorkerReport
+
+REPEATS = 5
+NEED = Resources(1000, 3000)
+ROOM = Resources(16_000, 65_000)
+
+
+def main() -> None:
+    """Print one line for each figure."""
+    for workers in (30, 200, 600, 1700):
+        seconds = _best(lambda n=workers: _place(n, 100))
+        print(f"place 100 tasks, {workers} workers: {1000 * seconds:.2f} ms")
+    for tasks in (50, 200, 800, 3200):
+        seconds = _best(lambda n=tasks: _place(200, n))
+        print(f"place {tasks} tasks, 200 workers: {1000 * seconds:.2f} ms")
+    for machines in (30, 200, 600, 1700):
+        seconds = _best(lambda n=machines: _move(n))
+        print(f"plan moves, {machines} machines: {1000 * seconds:.2f} ms")
+    for jobs in (100, 400, 1600, 6400):
+        state = _state(jobs)
+        begin = time.perf_counter()
+        data = state.encode()
+        seconds = time.perf_counter() - begin
+        begin = time.perf_counter()
+        ClusterState().restore(data, state.version)
+        restore = time.perf_counter() - begin
+        print(
+            f"snapshot of {jobs} jobs with 8 tasks: {len(data)} B, "
+            f"{1000 * seconds:.1f} ms to encode, "
+            f"{1000 * restore:.1f} ms to restore"
+        )
+    start = StartRun("5c0e7a21d94b36f8", 0, 1, 17, 2, ((0, "i-7f3a91c2", 1),))
+    print(f"bytes of a start in the log: {len(encode_commands([start]))}")
+
+
+def _best(run) -> float:
+    times = []
+    for _ in range(REPEATS):
+        begin = time.perf_counter()
+        run()
+        times.append(time.perf_counter() - begin)
+    return min(times)
+
+
+def _place(workers: int, tasks: int) -> None:
+    rooms = {
+        f"p{pool}": [
+            Room(_report(f"w{n}"), ROOM)
+            for n in range(pool, workers, min(8, workers))
+        ]
+        for pool in range(min(8, workers))
+    }
+    step = Step(1, NEED)
+    candidates = [
+        Candidate("j", TaskKey(0, 0, n), step, f"p{n % 8}", f"t{n % 86}")
+        for n in range(tasks)
+    ]
+    entries = [(c.tenant, NEED, c) for c in candidates]
+    plan(take_turns(entries, {}, {}, Resources(10**6, 10**6)), rooms, {})
+
+
+def _move(machines: int) -> None:
+    pools = max(2, machines // 8)
+    loads = {
+        f"p{n}": PoolLoad(f"p{n}", Resources(n % 5 * 10_000), floor=3)
+        for n in range(pools)
+    }
+    loads["spare"] = PoolLoad("spare", is_spare=True)
+    names = list(loads)
+    members = [
+        Member(f"m{n}", names[n % len(names)], "a", ROOM, True, n % 3 * 1.0)
+        for n in range(machines)
+    ]
+    plan_moves(loads, members)
+
+
+def _state(jobs: int) -> ClusterState:
+    state = ClusterState()
+    spec = JobSpec("x" * 300, (Step(8, NEED),))
+    for n in range(jobs):
+        job = f"{n:016x}"
+        starts = [
+            StartRun(job, 0, 0, i, 1, ((0, "i-7f3a91c2", 1),)) for i in range(8)
+        ]
+        state.apply(n + 1, [AcceptJob(job, "q", "t", spec, 1.0), *starts])
+    return state
+
+
+def _report(name: str) -> WorkerReport:
+    return WorkerReport(
+        name, 1, 1, "p", "", "h:1", "a", "r1", ("a", "r1"), ROOM
+    )
+
+
+if __name__ == "__main__":
+    main()
