Ask a policy service for tickets, and pace tasks that fill

Queues with a policy get tickets for a step once, and again when they have run out; a start carries its worker's ticket. Tasks that fill are halved while a serving task's tail is near its target, stopped while one is above it, and raised slowly.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -4,12 +4,14 @@
 import logging
 from collections.abc import Callable
 
+from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.endings import Endings
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.placing import Placer
 from galenarill.coordinator.progress import ProgressWatch
 from galenarill.coordinator.renewals import Renewals
 from galenarill.coordinator.runs import Phase, RunIndex, TrackedRun
+from galenarill.coordinator.sharing import Sharing
 from galenarill.coordinator.term import Term
 from galenarill.jobs import (
     ClusterState,
@@ -25,6 +27,7 @@
 from galenarill.telemetry import meter
 from galenarill.upkeep import StepPresence
 from galenarill.workers import (
+    AdviceClient,
     Contact,
     WorkerClient,
     WorkerRegistry,
@@ -63,6 +66,7 @@
         propose: Callable[..., asyncio.Future],
         is_confirmed: Callable[[], bool],
         keep_seconds: float,
+        advice_client: AdviceClient | None = None,
     ):
         """Make the scheduler of a term; see `start`.
 
@@ -74,6 +78,7 @@
             propose: Proposes commands, and returns a future of their commit.
             is_confirmed: Tells whether this coordinator surely leads.
             keep_seconds: How long the status of ended jobs is kept.
+            advice_client: Asks the policy service, or None without one.
         """
         self._state = state
         self._registry = registry
@@ -81,11 +86,18 @@
         self._term = Term(term, state, client, propose, is_confirmed)
         self._progress = ProgressWatch(self._term)
         self._endings = Endings(self._term, self._progress)
-        self._orders = RunOrders(self._term, self._endings)
+        self._advisor = Advisor(self._term, advice_client)
+        self._orders = RunOrders(self._term, self._endings, self._advisor)
         self._renewals = Renewals(
-            self._term, self._orders, self._endings, self._progress
+            self._term,
+            self._orders,
+            self._endings,
+            self._progress,
+            Sharing(self._term),
+        )
+        self._placer = Placer(
+            self._term, self._orders, self._progress, self._advisor
         )
-        self._placer = Placer(self._term, self._orders, self._progress)
 
     def start(self) -> None:
         """Take over what the state holds, and begin to schedule."""
@@ -148,6 +160,7 @@
                     self._orders.stop_soon(run)
             if job is None or job.status is not JobStatus.ACTIVE:
                 self._progress.forget_job(job_id)
+                self._advisor.forget_job(job_id)
             self._placer.refresh(job_id)
         if touched:
             self._term.wake.set()
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -36,7 +36,12 @@
 from galenarill.links import Mesh
 from galenarill.pools import MachineClient
 from galenarill.settings import NodeSettings
-from galenarill.workers import WorkerClient, WorkerRegistry, WorkerReport
+from galenarill.workers import (
+    AdviceClient,
+    WorkerClient,
+    WorkerRegistry,
+    WorkerReport,
+)
 from galenarill.world import VmId, WorkerId, steady_now
 
 __all__ = ["Coordinator"]
@@ -90,6 +95,7 @@
         settings: NodeSettings,
         client: WorkerClient,
         machine_client: MachineClient | None,
+        advice_client: AdviceClient | None = None,
     ):
         """Open the journal and make all parts; see `run`.
 
@@ -97,6 +103,7 @@
             settings: Settings of this process.
             client: Sends orders to workers.
             machine_client: The platform's machine interface, or None.
+            advice_client: The platform's policy service, or None.
 
         Raises:
             JournalError: If the disk cannot be used.
@@ -105,6 +112,7 @@
         self._vm = settings.link_address
         self._client = client
         self._machine_client = machine_client
+        self._advice_client = advice_client
         self._keeper: asyncio.Task | None = None
         self._registry = WorkerRegistry()
         self._leader: Leader | None = None
@@ -325,6 +333,7 @@
             self._proposals.propose,
             self._is_confirmed,
             settings.keep_job_seconds,
+            self._advice_client,
         )
         self._leader.start()
         if self._machine_client is not None:
--- a/galenarill/coordinator/orders.py
+++ b/galenarill/coordinator/orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.endings import Endings
 from galenarill.coordinator.runs import Phase, TrackedRun
 from galenarill.coordinator.term import RETRY_SECONDS, Term
@@ -24,9 +25,10 @@
 class RunOrders:
     """Orders to start and stop runs, repeated while they have no answer."""
 
-    def __init__(self, term: Term, endings: Endings):
+    def __init__(self, term: Term, endings: Endings, advisor: Advisor):
         """Order runs of `term`, and tell `endings` which never ran."""
         self._term = term
+        self._advisor = advisor
         self._endings = endings
         self._refused_until: dict[WorkerId, float] = {}
 
@@ -84,6 +86,7 @@
                 until_ms,
                 self._term.number,
                 checkpoint,
+                self._advisor.ticket_of(run),
             ),
         )
         self._term.note_clock(contact, answer)
@@ -120,6 +123,8 @@
                 # Its end is in the worker's list; without one it never ran.
                 run.phase, run.since = Phase.STOPPED, steady_now()
                 return True
+        if answer.verdict is Verdict.NO_TICKET:
+            self._advisor.drop(run)
         worker = run.incarnation.worker
         self._refused_until[worker] = steady_now() + REFUSED_SECONDS
         if run.was_unanswered:
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 
+from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.progress import ProgressWatch
 from galenarill.coordinator.runs import Phase, TrackedRun, ready_tasks
@@ -18,7 +19,7 @@
     rank,
     take_turns,
 )
-from galenarill.routing import Resources
+from galenarill.routing import Queue, Resources
 from galenarill.telemetry import meter
 from galenarill.workers import Contact
 from galenarill.world import (
@@ -49,9 +50,16 @@
 class Placer:
     """Fits ready tasks onto workers, and proposes their starts."""
 
-    def __init__(self, term: Term, orders: RunOrders, progress: ProgressWatch):
+    def __init__(
+        self,
+        term: Term,
+        orders: RunOrders,
+        progress: ProgressWatch,
+        advisor: Advisor,
+    ):
         """Place tasks in `term`."""
         self._term = term
+        self._advisor = advisor
         self._orders = orders
         self._progress = progress
         self._ready: dict[JobId, list[TaskKey]] = {}
@@ -180,7 +188,7 @@
             for key in keys:
                 if (job_id, key) not in self._proposed:
                     order = rank(job, key, queue, wall)
-                    ranked.append((order, job_id, key, queue.pool))
+                    ranked.append((order, job_id, key, queue))
         ranked.sort(key=lambda entry: entry[:3])
         # Tasks of one step and occurrence count together.
         beside: dict[tuple, dict[WorkerId, int]] = {}
@@ -188,8 +196,8 @@
         used, weights, total = self._shares()
         for _, group in itertools.groupby(ranked, lambda entry: entry[0][:2]):
             entries = []
-            for _, job_id, key, pool in group:
-                candidate = self._candidate(job_id, key, pool, beside)
+            for _, job_id, key, queue in group:
+                candidate = self._candidate(job_id, key, queue, beside)
                 entries.append(
                     (candidate.tenant, candidate.step.need, candidate)
                 )
@@ -210,7 +218,7 @@
         return dict(self._term.runs.used), weights, total
 
     def _candidate(
-        self, job_id: JobId, key: TaskKey, pool: PoolId, beside: dict
+        self, job_id: JobId, key: TaskKey, queue: Queue, beside: dict
     ) -> Candidate:
         job = self._term.state.jobs[job_id]
         step = job.spec.steps[key.step]
@@ -221,10 +229,13 @@
             job_id,
             key,
             step,
-            pool,
+            queue.pool,
             job.tenant,
             self._workers_to_avoid(job, key),
             beside.get(place, {}),
+            self._advisor.tickets(job_id, key, queue.pool)
+            if queue.advice is not None
+            else None,
         )
 
     def _workers_to_avoid(self, job: Job, key: TaskKey) -> frozenset[WorkerId]:
--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -7,6 +7,7 @@
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.progress import ProgressWatch
 from galenarill.coordinator.runs import Phase, TrackedRun
+from galenarill.coordinator.sharing import Sharing
 from galenarill.coordinator.term import RETRY_SECONDS, Term
 from galenarill.jobs import End
 from galenarill.workers import (
@@ -36,8 +37,10 @@
         orders: RunOrders,
         endings: Endings,
         progress: ProgressWatch,
+        sharing: Sharing,
     ):
         """Renew leases in `term`."""
+        self._sharing = sharing
         self._term = term
         self._orders = orders
         self._endings = endings
@@ -175,6 +178,7 @@
         listed = {(row.task, row.run) for row in lists.running + lists.ended}
         self._check_unlisted(contact, listed, sent_at)
         contact.is_read = True
+        self._sharing.note_lists(contact)
         self._term.wake.set()
         await asyncio.gather(*ends)
         if lists.ended:
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -52,6 +52,7 @@
         progress: How it advances, or None before the first reading.
         is_slow: Whether it takes much longer than its like elsewhere.
         is_whole: Whether its start is known and was the task's beginning.
+        pace_percent: Share of full speed that it was last set to.
     """
 
     job: JobId
@@ -70,6 +71,7 @@
     progress: Progress | None = None
     is_slow: bool = False
     is_whole: bool = False
+    pace_percent: int = 100
 
 
 class RunIndex:
--- /dev/null
+++ b/galenarill/coordinator/sharing.py
@@ -0,0 +1,73 @@
+"""Paces tasks that fill, so that tasks that serve keep to their targets."""
+
+import logging
+
+from galenarill.coordinator.runs import Phase, TrackedRun
+from galenarill.coordinator.term import Term
+from galenarill.workers import Contact, Verdict, next_percent
+from galenarill.world import steady_now
+
+__all__ = ["Sharing"]
+
+logger = logging.getLogger(__name__)
+
+# Time between two changes of one worker's pace, in seconds: the platform's
+# tails look back half a second.
+PERIOD_SECONDS = 0.6
+
+
+class Sharing:
+    """Sets the pace of tasks that fill from the tails beside them."""
+
+    def __init__(self, term: Term):
+        """Pace runs of `term`."""
+        self._term = term
+        self._next_at: dict[str, float] = {}
+
+    def note_lists(self, contact: Contact) -> None:
+        """Look at a worker's runs after it has listed them."""
+        worker = contact.report.worker
+        runs = [
+            run
+            for run in self._term.runs.on_worker(worker)
+            if run.phase is Phase.RUNNING and run.row is not None
+        ]
+        fillers = [run for run in runs if run.step.fills]
+        now = steady_now()
+        if not fillers or now < self._next_at.get(worker, 0):
+            return
+        self._next_at[worker] = now + PERIOD_SECONDS
+        worst = max(
+            (
+                run.row.load / run.step.target_ms
+                for run in runs
+                if run.step.target_ms and not run.step.fills
+            ),
+            default=0.0,
+        )
+        for run in fillers:
+            percent = next_percent(run.pace_percent, worst)
+            if percent != run.pace_percent:
+                self._term.spawn(self._set(contact, run, percent, worst))
+
+    async def _set(
+        self, contact: Contact, run: TrackedRun, percent: int, worst: float
+    ) -> None:
+        if not self._term.is_confirmed():
+            return
+        answer = await self._term.client.pace(
+            contact.report, run.name, run.number, percent, self._term.number
+        )
+        if answer.verdict is Verdict.DONE:
+            run.pace_percent = percent
+        logger.info(
+            "pace set",
+            extra={
+                "job": run.job,
+                "task": run.name,
+                "worker": contact.report.worker,
+                "percent": percent,
+                "worst_share": round(worst, 3),
+                "verdict": answer.verdict.value,
+            },
+        )
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -17,7 +17,14 @@
     decode_commands,
     encode_commands,
 )
-from galenarill.routing import Configuration, Pool, Queue, Resources, Tenant
+from galenarill.routing import (
+    AdvicePolicy,
+    Configuration,
+    Pool,
+    Queue,
+    Resources,
+    Tenant,
+)
 from galenarill.workers import WorkerRegistry
 from galenarill.world import replaced_clocks
 from standins.virtual_time import VirtualLoop
@@ -27,8 +34,9 @@
 ONE = Resources(1)
 
 
-def make_configuration(version=1, limit=0, attempts=3):
-    queue = Queue("q", "h", "/q/", "pool", 0, attempts, 1.5, 600, True)
+def make_configuration(version=1, limit=0, attempts=3, advice=None):
+    policy = AdvicePolicy(100, 10, 1000) if advice else None
+    queue = Queue("q", "h", "/q/", "pool", 0, attempts, 1.5, 600, True, policy)
     tenant = Tenant("t", ("key",), 1.0, Resources(limit))
     return Configuration(
         version,
@@ -49,7 +57,9 @@
         workers=3,
         limit=0,
         commit_seconds=COMMIT_SECONDS,
+        advice=None,
     ):
+        self.advice = advice
         self.commit_seconds = commit_seconds
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
@@ -64,7 +74,9 @@
 
         async def start():
             self.network = StandinWorkers(seed, seconds_of)
-            self.apply([Configure(make_configuration(limit=limit))])
+            self.apply(
+                [Configure(make_configuration(limit=limit, advice=advice))]
+            )
             for number in range(workers):
                 self.report(self.network.add(f"w{number}"))
             self.lead()
@@ -104,6 +116,7 @@
             lambda *commands: self.propose(term, *commands),
             lambda: self.term == term,
             120.0,
+            self.advice,
         )
         self.leader.start()
 
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -6,7 +6,7 @@
 
 from galenarill.coordinator.tests.simulation import Simulation
 from galenarill.jobs import DrainWorker, Incarnation, JobStatus
-from galenarill.workers import OrderAnswer, Verdict
+from galenarill.workers import Advice, AdviceClient, OrderAnswer, Verdict
 
 
 @pytest.fixture
@@ -233,3 +233,58 @@
     simulation.advance(12)
     assert simulation.all_completed()
     assert {begun.how for begun in simulation.network.history} == {"done"}
+
+
+class Policy(AdviceClient):
+    """A policy service that lets some workers run everything."""
+
+    def __init__(self, good, valid_seconds=2.0, failures=0):
+        self.good = good
+        self.valid_seconds = valid_seconds
+        self.failures = failures
+        self.asked = []
+
+    async def ask(self, step, workers):
+        await asyncio.sleep(0.1)
+        self.asked.append(step)
+        if len(self.asked) <= self.failures:
+            return None
+        tickets = {w: f"{step}/{w}" for w in workers if w in self.good}
+        return Advice(tickets, self.valid_seconds)
+
+
+def test_only_workers_with_a_ticket_run_a_step(make):
+    policy = Policy({"w1"}, failures=1)
+    simulation = make(advice=policy)
+    simulation.submit("j", count=3)
+    simulation.advance(5)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    assert {b.worker for b in simulation.network.history} == {"w1"}
+    assert {o.ticket for o in simulation.network.orders} == {"j.0.0/w1"}
+    assert policy.asked == ["j.0.0"] * 2
+
+
+def test_a_ticket_that_has_run_out_is_asked_for_again(make):
+    policy = Policy({"w0"}, valid_seconds=0.8)
+    simulation = make(advice=policy)
+    simulation.submit("j", count=8)
+    simulation.advance(6)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    assert len(policy.asked) > 1
+
+
+def test_tasks_that_fill_give_way_to_those_that_serve(make):
+    simulation = make(seconds_of=lambda *_: (999.0, "done"), workers=1)
+    simulation.submit("serve", count=1, lasts=True, target_ms=100)
+    simulation.submit("fill", count=1, lasts=True, fills=True)
+    simulation.advance(2)
+    life = simulation.network.workers["w0:1"]
+    assert not life.paces
+    life.tail_ms = 150.0
+    simulation.advance(2)
+    assert life.paces == [("fill.0.0.0", 0)]
+    life.tail_ms = 20.0
+    simulation.advance(4)
+    percents = [percent for _, percent in life.paces[1:]]
+    assert percents == sorted(percents)
+    assert 10 <= percents[-1] <= 80
--- a/galenarill/platform/process.py
+++ b/galenarill/platform/process.py
@@ -18,6 +18,7 @@
     SettingsFindings,
 )
 from galenarill.gateway.node import Gateway
+from galenarill.platform.advice_client import HttpAdviceClient
 from galenarill.platform.control import ControlServer
 from galenarill.platform.front import FrontServer
 from galenarill.platform.http import listen
@@ -86,9 +87,13 @@
         if settings.machines:
             machines = HttpMachineClient(settings.machines)
             stack.push_async_callback(machines.aclose)
+        advice = None
+        if settings.advice:
+            advice = HttpAdviceClient(settings.advice)
+            stack.push_async_callback(advice.aclose)
         while not stop.is_set():
             try:
-                await _coordinate(file, client, machines, stop)
+                await _coordinate(file, client, machines, advice, stop)
             except JournalCorruptError:
                 raise
             except JournalError as error:
@@ -103,10 +108,11 @@
     file: pathlib.Path,
     client: HttpWorkerClient,
     machines: HttpMachineClient | None,
+    advice: HttpAdviceClient | None,
     stop: asyncio.Event,
 ) -> None:
     settings = load_node_settings(file)
-    coordinator = Coordinator(settings, client, machines)
+    coordinator = Coordinator(settings, client, machines, advice)
     control = ControlServer(coordinator)
     running = asyncio.create_task(coordinator.run())
     watching = asyncio.create_task(_watch_settings(file, coordinator.add_seeds))
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -70,6 +70,9 @@
         self.stands_still = False
         # How many times as long everything takes.
         self.slowness = 1.0
+        # Tail of response times that every task reports, in ms.
+        self.tail_ms = 0.0
+        self.paces: list[tuple[str, int]] = []
         self._seconds_of = seconds_of
         self._history = history
         self._rate = rate
@@ -166,7 +169,7 @@
             except TimeoutError:
                 pass
         running = tuple(
-            RunningRow(task, begun.run, "", self._percent(begun), 0.0)
+            RunningRow(task, begun.run, "", self._percent(begun), self.tail_ms)
             for task, (begun, _) in self._running.items()
         )
         return Verdict.DONE, WorkerLists(
@@ -215,6 +218,7 @@
         workers: Present life of each worker, by address.
         history: Every run that was begun.
         cut: Addresses that cannot be reached.
+        orders: Every order to start that was sent.
         loss: Share of answers that are lost.
         lateness: Share of orders that get no answer and are carried out late.
     """
@@ -224,6 +228,7 @@
         self.workers: dict[str, StandinWorker] = {}
         self.history: list[Begun] = []
         self.cut: set[str] = set()
+        self.orders: list[StartOrder] = []
         self.loss = 0.0
         self.lateness = 0.0
         self._rng = random.Random(seed)
@@ -271,6 +276,7 @@
 
     async def start(self, worker, order):
         """Start a run."""
+        self.orders.append(order)
 
         async def carry_out(life):
             return life.start(order), None
@@ -287,7 +293,12 @@
 
     async def pace(self, worker, task, run, percent, token):
         """Let a run work at a share of its full speed."""
-        return OrderAnswer(Verdict.DONE)
+
+        async def carry_out(life):
+            life.paces.append((task, percent))
+            return Verdict.DONE, None
+
+        return await self._deliver(worker, carry_out)
 
     async def _deliver(self, worker, carry_out, wait: float = 0.0):
         await asyncio.sleep(self._rng.uniform(0.001, 0.02))
