Do not repeat a start at a worker that drains

Cause: a start that got no answer was sent again until it had one, also after the worker had said that it leaves; it was carried out 2.2 s after that was acknowledged. Change: such a run is given up: stopped first if an order may still arrive, then placed elsewhere. Test: test_a_start_without_an_answer_is_not_repeated_at_a_worker_that_drains, red before.

--- a/galenarill/coordinator/orders.py
+++ b/galenarill/coordinator/orders.py
@@ -43,6 +43,9 @@
             contact = self._term.contact_of(run)
             if contact is None:
                 return
+            if self._term.is_draining(contact):
+                await self._give_up(run)
+                return
             if self._term.is_confirmed() and self._term.is_answering(contact):
                 task = self._term.state.jobs[run.job].tasks[run.key]
                 checkpoint = task.checkpoint
@@ -127,12 +130,16 @@
             self._advisor.drop(run)
         worker = run.incarnation.worker
         self._refused_until[worker] = steady_now() + REFUSED_SECONDS
+        await self._give_up(run)
+        return True
+
+    async def _give_up(self, run: TrackedRun) -> None:
+        """Free a run that has not started to be placed elsewhere."""
         if run.was_unanswered:
             # An earlier order may still be carried out.
             self.stop_soon(run)
         else:
             await self._endings.end(run, End.REJECTED)
-        return True
 
     async def _stop(self, run: TrackedRun) -> None:
         while self._term.is_tracked(run) and run.phase is Phase.STOPPING:
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -284,9 +284,8 @@
         return (
             contact.is_read
             and self._term.is_answering(contact)
-            and not report.is_draining
+            and not self._term.is_draining(contact)
             and report.worker not in self._cordoned
-            and self._term.state.draining.get(report.worker) != report.born
             and not self._orders.has_refused(report.worker, now)
         )
 
--- a/galenarill/coordinator/term.py
+++ b/galenarill/coordinator/term.py
@@ -79,6 +79,14 @@
         """Tell whether a worker has answered of late."""
         return contact.answered_at > steady_now() - ANSWER_SECONDS
 
+    def is_draining(self, contact: Contact) -> bool:
+        """Tell whether a worker is about to leave, and takes no starts."""
+        report = contact.report
+        return (
+            report.is_draining
+            or self.state.draining.get(report.worker) == report.born
+        )
+
     def is_tracked(self, run: TrackedRun) -> bool:
         """Tell whether a run may still be in progress."""
         return self.runs.by_name.get((run.name, run.number)) is run
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -288,3 +288,30 @@
     percents = [percent for _, percent in life.paces[1:]]
     assert percents == sorted(percents)
     assert 10 <= percents[-1] <= 80
+
+
+def test_a_start_without_an_answer_is_not_repeated_at_a_worker_that_drains(
+    make,
+):
+    simulation = make(seconds_of=lambda task, run: (1.0, "done"), workers=2)
+    network = simulation.network
+    real = network.start
+    sent = []
+
+    async def start(worker, order):
+        sent.append((worker.worker, simulation.loop.time()))
+        if len(sent) == 1:
+            await asyncio.sleep(0.7)
+            return OrderAnswer(Verdict.NO_ANSWER)
+        return await real(worker, order)
+
+    network.start = start
+    simulation.submit("j", count=1)
+    simulation.advance(0.2)
+    ((worker, _),) = sent
+    report = simulation.registry.workers[worker].report
+    simulation.call(simulation.apply, [DrainWorker(worker, report.born)])
+    simulation.advance(5)
+    assert [name for name, _ in sent].count(worker) == 1
+    assert simulation.status("j") is JobStatus.COMPLETED
+    simulation.check()
