Do not start a copy whose task is done

Cause: when the intent of a copy and the end of its task are applied together, the run is stopped and started in one turn, and the start overrode the stop; at a silent worker it went out seconds later. Change: a run whose task is done is not wanted, and a start never overrides a stop. Test: test_a_copy_that_is_noted_together_with_the_end_is_not_started, red before.

--- a/galenarill/coordinator/orders.py
+++ b/galenarill/coordinator/orders.py
@@ -38,6 +38,8 @@
 
     async def start(self, run: TrackedRun) -> None:
         """Tell the worker, until it is known what became of the run."""
+        if run.phase in (Phase.STOPPING, Phase.STOPPED):
+            return
         run.phase = Phase.STARTING
         while self._term.is_wanted(run) and run.phase is Phase.STARTING:
             contact = self._term.contact_of(run)
--- a/galenarill/coordinator/term.py
+++ b/galenarill/coordinator/term.py
@@ -98,6 +98,8 @@
             self.is_tracked(run)
             and job is not None
             and job.status is JobStatus.ACTIVE
+            # A copy of the task may have been done first.
+            and not job.tasks[run.key].is_done
         )
 
     def note_clock(self, contact: Contact, answer: OrderAnswer) -> None:
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -5,7 +5,13 @@
 import pytest
 
 from galenarill.coordinator.tests.simulation import Simulation
-from galenarill.jobs import DrainWorker, Incarnation, JobStatus
+from galenarill.jobs import (
+    DrainWorker,
+    EndRun,
+    Incarnation,
+    JobStatus,
+    StartRun,
+)
 from galenarill.workers import Advice, AdviceClient, OrderAnswer, Verdict
 
 
@@ -315,3 +321,23 @@
     assert [name for name, _ in sent].count(worker) == 1
     assert simulation.status("j") is JobStatus.COMPLETED
     simulation.check()
+
+
+def test_a_copy_that_is_noted_together_with_the_end_is_not_started(make):
+    simulation = make(seconds_of=lambda task, run: (9.0, "done"), workers=2)
+    simulation.submit("j", count=1, is_speculative=True)
+    simulation.advance(1)
+    (first,) = simulation.network.history
+    other = {"w0": "w1", "w1": "w0"}[first.worker]
+    born = simulation.registry.workers[other].report.born
+    simulation.call(
+        simulation.apply,
+        [
+            StartRun("j", 0, 0, 0, 2, ((0, other, born),)),
+            EndRun("j", 0, 0, 0, 1, 0, "done", "", simulation.loop.time()),
+        ],
+    )
+    simulation.advance(3)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    assert [order.run for order in simulation.network.orders] == [1]
+    assert not simulation.leader.runs.by_name
