--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -14,6 +14,7 @@
     GalenarillError,
     SettingsFindings,
 )
+from galenarill.platform.variables import SETTINGS_FILE
 
 __all__ = ["app", "main"]
 
@@ -59,7 +60,7 @@
 @app.command
 def gateway(
     settings: Annotated[
-        pathlib.Path, cyclopts.Parameter(env_var="GALENARILL_NODE_FILE")
+        pathlib.Path, cyclopts.Parameter(env_var=SETTINGS_FILE)
     ],
 ) -> None:
     """Run a gateway, which takes callers' jobs, until it gets SIGTERM.
@@ -77,7 +78,7 @@
 @app.command
 def coordinator(
     settings: Annotated[
-        pathlib.Path, cyclopts.Parameter(env_var="GALENARILL_NODE_FILE")
+        pathlib.Path, cyclopts.Parameter(env_var=SETTINGS_FILE)
     ],
 ) -> None:
     """Run a coordinator, a voter of the log, until it gets SIGTERM.
--- /dev/null
+++ b/galenarill/settings/loading.py
@@ -0,0 +1,53 @@
+"""Reads the settings of a process, and reports every fault at once."""
+
+import pathlib
+import tomllib
+from collections.abc import Callable
+
+import cattrs
+
+from galenarill.errors import Finding, SettingsError, SettingsFindings
+from galenarill.settings.check import faults_of, make_converter
+
+__all__ = ["load_checked"]
+
+
+def load_checked(
+    file: pathlib.Path,
+    kind: type,
+    find_faults: Callable[..., list[tuple[str, str]]],
+):
+    """Read a TOML file into a settings class, and check it.
+
+    Args:
+        file: TOML file.
+        kind: Settings class.
+        find_faults: Returns path and text of each fault of its values.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsFindings: Every fault.
+    """
+    try:
+        raw = tomllib.loads(file.read_text(encoding="utf-8"))
+        settings = make_converter().structure(raw, kind)
+    except (OSError, ValueError) as error:
+        raise _findings(file, [("", str(error))]) from error
+    except cattrs.BaseValidationError as error:
+        faults = [(".".join(f.path), f.text) for f in faults_of(error, ())]
+        raise _findings(file, faults) from error
+    faults = find_faults(settings)
+    if faults:
+        raise _findings(file, faults)
+    return settings
+
+
+def _findings(
+    file: pathlib.Path, faults: list[tuple[str, str]]
+) -> SettingsFindings:
+    return SettingsFindings(
+        f"{len(faults)} faults in {file}",
+        [SettingsError(Finding(str(file), 0, path, t)) for path, t in faults],
+    )
--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -2,12 +2,8 @@
 
 import dataclasses
 import pathlib
-import tomllib
 
-import cattrs
-
-from galenarill.errors import Finding, SettingsError, SettingsFindings
-from galenarill.settings.check import faults_of, make_converter
+from galenarill.settings.loading import load_checked
 from galenarill.world import VmId
 
 __all__ = ["NodeSettings", "load_node_settings"]
@@ -89,18 +85,7 @@
     Raises:
         SettingsFindings: Every fault.
     """
-    try:
-        raw = tomllib.loads(file.read_text(encoding="utf-8"))
-        settings = make_converter().structure(raw, NodeSettings)
-    except (OSError, ValueError) as error:
-        raise _findings(file, [("", str(error))]) from error
-    except cattrs.BaseValidationError as error:
-        faults = [(".".join(f.path), f.text) for f in faults_of(error, ())]
-        raise _findings(file, faults) from error
-    faults = _find_faults(settings)
-    if faults:
-        raise _findings(file, faults)
-    return settings
+    return load_checked(file, NodeSettings, _find_faults)
 
 
 def _find_faults(settings: NodeSettings) -> list[tuple[str, str]]:
@@ -124,10 +109,3 @@
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
     return bool(host) and port.isdigit()
-
-
-def _findings(file: pathlib.Path, faults: list[tuple[str, str]]):
-    return SettingsFindings(
-        f"{len(faults)} faults in {file}",
-        [SettingsError(Finding(str(file), 0, path, t)) for path, t in faults],
-    )
--- a/galenarill/settings/process.py
+++ b/galenarill/settings/process.py
@@ -2,12 +2,8 @@
 
 import dataclasses
 import pathlib
-import tomllib
 
-import cattrs
-
-from galenarill.errors import Finding, SettingsError, SettingsFindings
-from galenarill.settings.check import faults_of, make_converter
+from galenarill.settings.loading import load_checked
 from galenarill.world import AvailabilityZoneId, VmId
 
 __all__ = ["PeerSettings", "ProcessSettings", "load_process_settings"]
@@ -102,18 +98,7 @@
     Raises:
         SettingsFindings: Every fault.
     """
-    try:
-        raw = tomllib.loads(file.read_text(encoding="utf-8"))
-        settings = make_converter().structure(raw, ProcessSettings)
-    except (OSError, ValueError) as error:
-        _raise(file, [("", str(error))])
-    except cattrs.BaseValidationError as error:
-        faults = faults_of(error, ())
-        _raise(file, [(".".join(f.path), f.text) for f in faults])
-    faults = _find_faults(settings)
-    if faults:
-        _raise(file, faults)
-    return settings
+    return load_checked(file, ProcessSettings, _find_faults)
 
 
 def _find_faults(settings: ProcessSettings) -> list[tuple[str, str]]:
@@ -145,10 +130,3 @@
     if not faults and settings.own.voter and not settings.data_folder:
         faults.append(("data_folder", "a voter needs a data folder"))
     return faults
-
-
-def _raise(file: pathlib.Path, faults: list[tuple[str, str]]):
-    raise SettingsFindings(
-        f"{len(faults)} faults in {file}",
-        [SettingsError(Finding(str(file), 0, path, t)) for path, t in faults],
-    )
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -24,6 +24,7 @@
     "heartbeat_url",
     "admission_check",
     "X-Galenarill",
+    "GALENARILL_NODE_FILE",
     '"/galenarill/',
 )
 
