Free the connection of a broken answer, and tell a passed deadline from a failure

After an answer that broke off, the response stayed referenced by its own traceback, so the one connection of the permit was not free until garbage was collected: the next request waited out its deadline. And the loop's timers fire up to half a millisecond before a deadline (measured: 116 of 400 with uvloop), so a comparison with the clock took a passed deadline for a failed server and answered 502 in place of 504. Change: the response is closed in every case; the timer says whether it has expired.

--- a/galenarill/entry/execution.py
+++ b/galenarill/entry/execution.py
@@ -268,6 +268,7 @@
             self._slots.release(permit.permit_id, **outcome)
 
         status = 0
+        response = None
         has_begun = False
         may_have_run_before = spec.may_have_run
         spec.may_have_run = True
@@ -318,10 +319,13 @@
             if has_begun:
                 await sink.abort()
                 return _AttemptResult.ANSWERED
-            if self._loop.time() >= spec.deadline:
+            if timer.expired():
                 raise _unknown("no answer before the deadline", 504) from error
             return _AttemptResult.FAILED
         finally:
+            if response is not None:
+                # A connection whose answer broke off is not free by itself.
+                response.close()
             if not is_released:
                 # The caller has gone; the backend server may go on.
                 self._slots.release(permit.permit_id, running=start.attempt)
--- /dev/null
+++ b/galenarill/entry/tests/test_execution.py
@@ -0,0 +1,161 @@
+"""Tests of running a request on a backend server that misbehaves.
+
+The servers here are bare sockets, so that each byte and each break is the
+test's own.
+"""
+
+import asyncio
+import gc
+
+import pytest
+import uvloop
+
+from galenarill.entry.connections import PermitConnections
+from galenarill.entry.execution import (
+    AnswerSink,
+    Execution,
+    RequestBody,
+    RequestSpec,
+    RunError,
+)
+from galenarill.scheduling import Start
+from galenarill.scheduling.messages import Permit
+from galenarill.world import (
+    AttemptId,
+    PermitId,
+    PoolId,
+    QueueId,
+    RequestId,
+    TeamId,
+    VmId,
+)
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+
+
+class OnePermit:
+    """Slots that grant the same permit to every request."""
+
+    def __init__(self, address: str):
+        """Make slots of the server at `address`."""
+        self.address = address
+        self.outcomes = []
+
+    async def acquire(self, request, pool, team, deadline, avoided) -> Start:
+        """Grant the permit."""
+        permit = Permit(
+            permit_id=PermitId("p1"),
+            server=VmId("s1"),
+            incarnation="1",
+            address=self.address,
+            pool=pool,
+            team=team,
+        )
+        return Start(request, permit, AttemptId(f"{request}.1"))
+
+    def release(self, permit_id, **outcome) -> None:
+        """Note how the request ended."""
+        self.outcomes.append(outcome)
+
+
+class Collected(AnswerSink):
+    """Keeps what a caller would see."""
+
+    def __init__(self):
+        """Make an empty answer."""
+        self.status = 0
+        self.body = b""
+        self.is_broken = False
+
+    async def begin(self, status, headers) -> None:
+        """Keep the status."""
+        self.status = status
+
+    async def write(self, chunk) -> None:
+        """Keep a part of the body."""
+        self.body += chunk
+
+    async def finish(self) -> None:
+        """The answer is whole."""
+
+    async def abort(self) -> None:
+        """Note that the answer broke off."""
+        self.is_broken = True
+
+
+async def _serve(reader, writer) -> None:
+    """Break off the answer to /cut, be silent on /sleep, answer the rest."""
+    try:
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            if b"/cut" in head:
+                writer.write(HEAD % 1_000_000 + b"x" * 1_000)
+                await writer.drain()
+                writer.transport.abort()
+                return
+            if b"/sleep" not in head:
+                writer.write(HEAD % 2 + b"ok")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
+
+
+def _spec(path: str, seconds: float) -> RequestSpec:
+    return RequestSpec(
+        request=RequestId("r1"),
+        team=TeamId("municipal"),
+        queue=QueueId("render"),
+        pool=PoolId("render"),
+        method="POST",
+        path=path,
+        headers=[],
+        body=RequestBody(b"", None),
+        deadline=asyncio.get_running_loop().time() + seconds,
+        is_idempotent=False,
+    )
+
+
+def _with_execution(check) -> None:
+    async def play() -> None:
+        server = await asyncio.start_server(_serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        connections = PermitConnections()
+        slots = OnePermit(f"{host}:{port}")
+        try:
+            await check(Execution(slots, connections))
+        finally:
+            await connections.close_all()
+            server.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(play())
+
+
+def test_broken_answer_frees_the_connection_of_its_permit():
+    """The next request does not wait for a collection of garbage."""
+
+    async def check(execution: Execution) -> None:
+        for _ in range(3):
+            sink = Collected()
+            await execution.run(_spec("/cut", 5.0), sink)
+            assert sink.is_broken
+            sink = Collected()
+            await execution.run(_spec("/ok", 5.0), sink)
+            assert (sink.status, sink.body) == (200, b"ok")
+
+    gc.disable()
+    try:
+        _with_execution(check)
+    finally:
+        gc.enable()
+
+
+def test_passed_deadline_is_told_from_a_failed_server():
+    """The loop's timers fire up to half a millisecond early."""
+
+    async def check(execution: Execution) -> None:
+        for step in range(40):
+            spec = _spec("/sleep", 0.005 + step * 0.0001)
+            with pytest.raises(RunError) as raised:
+                await execution.run(spec, Collected())
+            assert raised.value.status == 504, f"step {step}"
+
+    _with_execution(check)
