Give up a call whose leader is lost after two elections, not at its deadline

Change: a call that was sent waits 1.4 s for the next leader; a leader that is known and slow still has until the deadline. Test: cluster/tests/test_calls.py, failed before.

--- a/galenarill/cluster/calls.py
+++ b/galenarill/cluster/calls.py
@@ -17,6 +17,9 @@
 RESEND_SECONDS = 0.8
 # How long a call waits for a leader before anything was sent, in seconds.
 LEADER_WAIT_SECONDS = 0.1
+# How long a call that was sent waits for the next leader, in seconds: two
+# elections. The caller asks again, and finds what the call has done.
+SUCCESSOR_WAIT_SECONDS = 1.4
 POLL_SECONDS = 0.02
 
 
@@ -87,13 +90,16 @@
 
         Raises:
             NoLeaderError: If nothing was sent.
-            NoAnswerError: If the request may have been carried out.
+            NoAnswerError: If the request may have been carried out. Raised
+                before the deadline if the leader is lost and none follows.
         """
         is_sent = False
         give_up_at = min(deadline, steady_now() + LEADER_WAIT_SECONDS)
         while steady_now() < (deadline if is_sent else give_up_at):
             leader = self.leader
             if leader is None:
+                if steady_now() >= give_up_at:
+                    break
                 await asyncio.sleep(POLL_SECONDS)
                 continue
             self._next_call += 1
@@ -104,7 +110,9 @@
                 if not self._send(leader, Call(call, request)):
                     await asyncio.sleep(POLL_SECONDS)
                     continue
-                is_sent = True
+                if not is_sent:
+                    is_sent = True
+                    give_up_at = steady_now() + SUCCESSOR_WAIT_SECONDS
                 wait = min(deadline - steady_now(), RESEND_SECONDS)
                 async with asyncio.timeout(max(wait, 0)):
                     reply = await future
@@ -116,7 +124,7 @@
                 return reply
             await asyncio.sleep(POLL_SECONDS)
         if is_sent:
-            raise NoAnswerError("the leader did not answer in time")
+            raise NoAnswerError("the leader that was asked has not answered")
         raise NoLeaderError("no leader is known")
 
     def _fail_calls(self, peer: VmId) -> None:
--- a/galenarill/cluster/tests/test_calls.py
+++ b/galenarill/cluster/tests/test_calls.py
@@ -107,6 +107,39 @@
     ask(scenario)
 
 
+def test_a_request_whose_leader_is_lost_is_given_up_before_its_deadline():
+    """The caller has time to ask again."""
+
+    async def scenario():
+        peers = Peers(a="silent")
+        peers.lead("a", 1)
+        begin = steady_now()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.2, peers.client.note_link, "a", False)
+        with pytest.raises(NoAnswerError):
+            await peers.client.ask(REQUEST, begin + 3)
+        assert steady_now() - begin < 1.5
+
+    ask(scenario)
+
+
+def test_a_leader_that_is_slow_has_until_the_deadline():
+    async def scenario():
+        peers = Peers(a="silent")
+        loop = asyncio.get_running_loop()
+        for tick in range(10):
+            loop.call_later(0.3 * tick, peers.lead, "a", 1)
+        begin = steady_now()
+        loop.call_later(
+            2.0, lambda: setattr(peers, "answers", {"a": Code.DONE})
+        )
+        await asyncio.sleep(0)
+        reply = await peers.client.ask(REQUEST, begin + 3)
+        assert reply.code is Code.DONE
+
+    ask(scenario)
+
+
 def test_one_that_no_longer_leads_is_passed_over():
     async def scenario():
         peers = Peers(a=Code.NOT_LEADING, b=Code.DONE)
