Let a pool that is short borrow what others keep, and let an idle fleet sleep

Change: reserves of other pools, down to one machine, are lent to work that waits; when no passing job has been in progress for 4.5 s each pool keeps one machine. The line 'pools' is now one line a pool, and only when it has changed.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -205,6 +205,14 @@
         """Return how many ready tasks of a pool found no worker."""
         return len(self._placer.unplaced.get(pool, ()))
 
+    def has_passing_jobs(self) -> bool:
+        """Tell whether a job is in progress that is not made to last."""
+        return any(
+            job.status is JobStatus.ACTIVE
+            and not all(step.lasts for step in job.spec.steps)
+            for job in self._state.jobs.values()
+        )
+
     def add_load(self, loads: dict[PoolId, PoolLoad]) -> None:
         """Add what runs and waits to the load of each pool."""
         routing = self._state.routing
@@ -216,7 +224,8 @@
             for run in self.runs.runs_of(job_id):
                 load.running = load.running.plus(run.step.reserved)
             if job.status is JobStatus.ACTIVE:
-                load.floor = max(load.floor, _least_workers(job))
+                load.least = max(load.least, _least_workers(job))
+                load.floor = max(load.floor, load.least)
         for pool, steps in self._placer.unplaced.items():
             if pool in loads:
                 load = loads[pool]
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -14,9 +14,9 @@
     Member,
     Move,
     PoolLoad,
+    needed_machines,
     plan_moves,
     typical_capacity,
-    wanted_machines,
 )
 from galenarill.world import PoolId, WorkerId, steady_now
 
@@ -24,7 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
-# A pool keeps what it wanted in the last seconds through a lull.
+# A pool keeps what it needed in the last seconds through a lull.
 LULL_SECONDS = 1.2
 POOL_LOG_SECONDS = 1.0
 # Share of the fleet that a queue needs in its turn; measured: 11 to 18 of 30.
@@ -34,6 +34,12 @@
 SHORT_SECONDS = 0.25
 # Least machines of a pool that serves, so that the loss of one stops nothing.
 MIN_MACHINES = 3
+# Least machines of a pool while another has nothing left to take, or while
+# the fleet is asleep.
+LEAST_MACHINES = 1
+# The fleet is asleep when no job but those that last has been in progress
+# anywhere for this long, in seconds: three times a move.
+SLEEP_SECONDS = 4.5
 
 
 class Mover:
@@ -49,7 +55,10 @@
         self._refused: set[tuple[str, PoolId]] = set()
         # Since when tasks of a pool have found no worker.
         self._short_since: dict[PoolId, float] = {}
-        self._wanted: dict[PoolId, collections.deque] = {}
+        self._needed: dict[PoolId, collections.deque] = {}
+        self._worked_at = steady_now()
+        # What was last logged of each pool.
+        self._logged: dict[PoolId, tuple] = {}
         self._logged_at = float("-inf")
 
     def step(self) -> None:
@@ -73,20 +82,22 @@
                 self._idle_since.pop(worker, None)
 
     def _loads(self, now: float) -> dict[PoolId, PoolLoad]:
+        if self._leader.has_passing_jobs():
+            self._worked_at = now
+        is_asleep = now > self._worked_at + SLEEP_SECONDS
+        floor = LEAST_MACHINES if is_asleep else MIN_MACHINES
         loads = {
-            pool.name: PoolLoad(
-                pool.name,
-                floor=0 if pool.is_spare else MIN_MACHINES,
-                is_spare=pool.is_spare,
-            )
+            pool.name: PoolLoad(pool.name, least=0, is_spare=True)
+            if pool.is_spare
+            else PoolLoad(pool.name, floor=floor, least=LEAST_MACHINES)
             for pool in self._state.routing.configuration.pools
         }
         self._leader.add_load(loads)
-        self._note_wanted(loads, now)
+        self._note_needed(loads, now)
         return loads
 
-    def _note_wanted(self, loads: dict[PoolId, PoolLoad], now: float) -> None:
-        """Find surges, and remember what each pool wanted through a lull."""
+    def _note_needed(self, loads: dict[PoolId, PoolLoad], now: float) -> None:
+        """Find surges, and remember what each pool needed through a lull."""
         machines = self._fleet.machines.values()
         capacity = typical_capacity([machine.capacity for machine in machines])
         if capacity is None:
@@ -97,11 +108,11 @@
                 self._short_since.pop(pool, None)
             elif now >= self._short_since.setdefault(pool, now) + SHORT_SECONDS:
                 load.surge = surge
-            recent = self._wanted.setdefault(pool, collections.deque())
-            recent.append((now, wanted_machines(load, capacity)))
+            recent = self._needed.setdefault(pool, collections.deque())
+            recent.append((now, needed_machines(load, capacity)))
             while recent[0][0] < now - LULL_SECONDS:
                 recent.popleft()
-            load.recently_wanted = max(wanted for _, wanted in recent)
+            load.recently_needed = max(needed for _, needed in recent)
 
     def _member(self, machine: Machine, now: float) -> Member:
         since = self._idle_since.get(machine.worker)
@@ -125,26 +136,29 @@
         members: list[Member],
         now: float,
     ) -> None:
-        """Log what each pool has and wants, at most once a second."""
+        """Log pools that changed, each at most once a second."""
         if now < self._logged_at + POOL_LOG_SECONDS:
             return
         self._logged_at = now
-        logger.info(
-            "pools",
-            extra={
-                "pools": {
-                    pool: {
-                        "machines": sum(m.pool == pool for m in members),
-                        "wanted": load.recently_wanted,
-                        "running_cpu": load.running.cpu,
-                        "waiting_cpu": load.waiting.cpu,
-                        "unplaced": load.unplaced,
-                    }
-                    for pool, load in loads.items()
+        machines = collections.Counter(member.pool for member in members)
+        for pool, load in loads.items():
+            line = (machines[pool], load.recently_needed, load.unplaced)
+            if self._logged.get(pool) == line:
+                continue
+            self._logged[pool] = line
+            logger.info(
+                "pool",
+                extra={
+                    "pool": pool,
+                    "machines": machines[pool],
+                    "floor": load.floor,
+                    "needed": load.recently_needed,
+                    "running_cpu": load.running.cpu,
+                    "waiting_cpu": load.waiting.cpu,
+                    "unplaced": load.unplaced,
+                    "list_age": round(now - self._fleet.read_at, 3),
                 },
-                "list_age": round(now - self._fleet.read_at, 3),
-            },
-        )
+            )
 
     def _begin(self, move: Move) -> None:
         machine = self._fleet.machines[move.machine]
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -34,14 +34,20 @@
 ONE = Resources(1)
 
 
-def make_configuration(version=1, limit=0, attempts=3, advice=None):
+def make_configuration(
+    version=1, limit=0, attempts=3, advice=None, other_pools=()
+):
     policy = AdvicePolicy(100, 10, 1000) if advice else None
     queue = Queue("q", "h", "/q/", "pool", 0, attempts, 1.5, 600, True, policy)
     tenant = Tenant("t", ("key",), 1.0, Resources(limit))
     return Configuration(
         version,
         (queue,),
-        (Pool("pool", True, False), Pool("spare", True, True)),
+        (
+            Pool("pool", True, False),
+            Pool("spare", True, True),
+            *(Pool(name, True, False) for name in other_pools),
+        ),
         (tenant,),
         document=b"{}",
     )
@@ -58,6 +64,7 @@
         limit=0,
         commit_seconds=COMMIT_SECONDS,
         advice=None,
+        other_pools=(),
     ):
         self.advice = advice
         self.commit_seconds = commit_seconds
@@ -76,9 +83,10 @@
 
         async def start():
             self.network = StandinWorkers(seed, seconds_of)
-            self.apply(
-                [Configure(make_configuration(limit=limit, advice=advice))]
+            configuration = make_configuration(
+                limit=limit, advice=advice, other_pools=other_pools
             )
+            self.apply([Configure(configuration)])
             for number in range(workers):
                 self.report(self.network.add(f"w{number}"))
             self.lead()
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -149,12 +149,37 @@
     pools = {f"m{n}": "spare" for n in range(6)} | {"n0": "pool", "n1": "pool"}
     simulation, machines = make(pools, seconds_of=lambda *_: (4.0, "done"))
     simulation.submit("j", count=16)
-    simulation.advance(12)
+    for _ in range(48):
+        simulation.advance(0.25)
+        if simulation.status("j") is JobStatus.COMPLETED:
+            break
     assert simulation.status("j") is JobStatus.COMPLETED
     assert any(order[2] == "pool" for order in machines.orders)
-    simulation.advance(10)
-    pools = [machine.pool for machine in machines.machines.values()]
-    assert pools.count("pool") == 3, "idle machines stay in the pool"
+
+    def machines_in_pool():
+        pools = [machine.pool for machine in machines.machines.values()]
+        return pools.count("pool")
+
+    simulation.advance(4)
+    assert machines_in_pool() == 3, "idle machines stay in the pool"
+    simulation.advance(6)
+    assert machines_in_pool() == 1, "an idle fleet stays awake"
+    simulation.submit("k", count=1)
+    simulation.advance(3)
+    assert machines_in_pool() == 3, "a fleet at work stays asleep"
+
+
+def test_a_pool_that_is_short_borrows_what_others_keep(make):
+    """The spare pool is empty; the other pool keeps three machines."""
+    pools = {f"a{n}": "pool" for n in range(3)}
+    pools |= {f"b{n}": "other" for n in range(3)}
+    simulation, machines = make(
+        pools, seconds_of=lambda *_: (4.0, "done"), other_pools=("other",)
+    )
+    simulation.submit("j", count=40)
+    simulation.advance(3)
+    now = [machine.pool for machine in machines.machines.values()]
+    assert now.count("other") == 1
 
 
 def test_tokens_rise_with_each_order(make):
--- a/galenarill/pools/plan.py
+++ b/galenarill/pools/plan.py
@@ -10,6 +10,7 @@
     "PoolLoad",
     "Member",
     "Move",
+    "needed_machines",
     "wanted_machines",
     "plan_moves",
     "typical_capacity",
@@ -33,10 +34,12 @@
         running: Reserved by runs in progress.
         waiting: Reserved by tasks that are ready and have no run; short ones
             count in part, since they leave room before a machine arrives.
-        floor: Least number of machines.
+        floor: Machines that it keeps so that work finds room at once.
+        least: Machines that it keeps even while another pool is short.
         is_spare: Whether its machines are off.
         unplaced: Tasks that found no worker.
-        recently_wanted: Most machines that it wanted in the last seconds.
+        recently_needed: Most machines that its work needed in the last
+            seconds.
         surge: Machines that a queue in its turn is expected to need, while
             tasks of the pool find no worker; else 0.
     """
@@ -45,9 +48,10 @@
     running: Resources = dataclasses.field(default_factory=Resources)
     waiting: Resources = dataclasses.field(default_factory=Resources)
     floor: int = 0
+    least: int = 1
     is_spare: bool = False
     unplaced: int = 0
-    recently_wanted: int = 0
+    recently_needed: int = 0
     surge: int = 0
 
 
@@ -92,12 +96,15 @@
         >>> wanted_machines(load, Resources(16000, 64000))
         2
     """
+    return max(load.floor, needed_machines(load, capacity))
+
+
+def needed_machines(load: PoolLoad, capacity: Resources) -> int:
+    """Return how many machines of `capacity` the work of a pool needs."""
     if load.is_spare:
         return 0
     total = load.running.plus(load.waiting)
-    if load.surge:
-        return max(load.floor, load.surge, _machines_for(total, capacity))
-    return max(load.floor, _machines_for(total, capacity))
+    return max(load.surge, _machines_for(total, capacity))
 
 
 def _machines_for(total: Resources, capacity: Resources) -> int:
@@ -121,91 +128,129 @@
     """Return the moves that bring machines where work is.
 
     Pools short of machines take spare ones first, then idle ones of pools
-    that have more than they want. Machines that stay idle without need go to
-    the spare pool.
+    that have more than they want, and last those that other pools keep for
+    work to come. Machines that stay idle without need go to the spare pool.
 
     Args:
         loads: Load of each pool.
         members: Machines.
         refused: Kinds of machine that a pool does not take.
     """
-    by_pool: dict[PoolId, list[Member]] = {pool: [] for pool in loads}
-    for member in members:
-        by_pool.setdefault(member.pool, []).append(member)
     capacity = typical_capacity([m.capacity for m in members])
     if capacity is None:
         return []
-    excess, have = {}, {}
-    for pool, load in loads.items():
-        have[pool] = sum(member.counts for member in by_pool[pool])
-        wanted = wanted_machines(load, capacity)
-        if load.unplaced and not any(m.is_coming for m in by_pool[pool]):
-            wanted = max(wanted, have[pool] + 1)
-        excess[pool] = have[pool] - wanted
-    free = sorted(
-        (
+    planner = _Planner(loads, members, refused, capacity)
+    planner.fill()
+    planner.borrow()
+    planner.release()
+    return planner.moves
+
+
+class _Planner:
+    """One plan in the making."""
+
+    def __init__(self, loads, members, refused, capacity: Resources):
+        self.moves: list[Move] = []
+        self._loads = loads
+        self._refused = refused
+        self._moved: set[MachineId] = set()
+        by_pool: dict[PoolId, list[Member]] = {pool: [] for pool in loads}
+        for member in members:
+            by_pool.setdefault(member.pool, []).append(member)
+        self._have, self._wanted, self._needed = {}, {}, {}
+        # Wanted, and one more where a task fits on none of its machines.
+        self._due = {}
+        for pool, load in loads.items():
+            have = sum(member.counts for member in by_pool[pool])
+            wanted = wanted_machines(load, capacity)
+            is_coming = any(member.is_coming for member in by_pool[pool])
+            is_stuck = load.unplaced and not is_coming
+            self._have[pool] = have
+            self._wanted[pool] = wanted
+            self._needed[pool] = needed_machines(load, capacity)
+            self._due[pool] = max(wanted, have + 1) if is_stuck else wanted
+        self._free = self._free_members(members)
+
+    def fill(self) -> None:
+        """Give pools what they want, where no other pool wants it."""
+        for pool in self._shortest_first(self._due):
+            for member in self._free:
+                if self._have[pool] >= self._due[pool]:
+                    break
+                source = self._loads[member.pool]
+                if source.is_spare or self._beyond_wanted(member.pool) > 0:
+                    self._move(member, pool)
+
+    def borrow(self) -> None:
+        """Give pools what they need out of what others keep in reserve."""
+        for pool in self._shortest_first(self._needed):
+            for member in self._free:
+                if self._have[pool] >= self._needed[pool]:
+                    break
+                if self._beyond_needed(member.pool) > 0:
+                    self._move(member, pool)
+
+    def release(self) -> None:
+        """Switch off what has been idle without need."""
+        spares = [pool for pool, load in self._loads.items() if load.is_spare]
+        for member in self._free:
+            if (
+                self._loads[member.pool].is_spare
+                or member.idle_seconds < IDLE_SECONDS
+                or self._beyond_wanted(member.pool) <= 0
+            ):
+                continue
+            for spare in spares:
+                if self._move(member, spare):
+                    break
+
+    def _free_members(self, members: list[Member]) -> list[Member]:
+        """Return the machines that may move, spare ones first."""
+        free = [
             member
             for member in members
             if member.is_up
-            and member.pool in loads
+            and member.pool in self._loads
             and (
-                loads[member.pool].is_spare
+                self._loads[member.pool].is_spare
                 or member.idle_seconds >= LEND_SECONDS
             )
-        ),
-        key=lambda m: (
-            not loads[m.pool].is_spare,
-            -m.idle_seconds,
-            m.machine,
-        ),
-    )
+        ]
+        free.sort(
+            key=lambda m: (
+                not self._loads[m.pool].is_spare,
+                -m.idle_seconds,
+                m.machine,
+            )
+        )
+        return free
 
-    def kept(pool: PoolId) -> int:
-        """Return how many machines a pool has beyond its recent need."""
-        load = loads[pool]
-        wanted = wanted_machines(load, capacity)
-        return have[pool] - max(wanted, load.recently_wanted)
-
-    moves, moved = [], set()
-    for pool in sorted(loads, key=lambda p: (excess[p], p)):
-        for member in free:
-            if excess[pool] >= 0:
-                break
-            source = loads[member.pool]
-            if (
-                member.machine in moved
-                or member.pool == pool
-                or (not source.is_spare and kept(member.pool) <= 0)
-                or (member.kind, pool) in refused
-            ):
-                continue
-            moves.append(Move(member.machine, pool))
-            moved.add(member.machine)
-            excess[pool] += 1
-            have[member.pool] -= 1
-    moves += _releases(loads, free, kept, have, moved, refused)
-    return moves
+    def _shortest_first(self, due: dict[PoolId, int]) -> list[PoolId]:
+        return sorted(self._loads, key=lambda p: (self._have[p] - due[p], p))
 
+    def _beyond_wanted(self, pool: PoolId) -> int:
+        """Return how many machines a pool has beyond its recent wants."""
+        recent = self._loads[pool].recently_needed
+        return self._have[pool] - max(self._wanted[pool], recent)
 
-def _releases(loads, free, kept, have, moved, refused) -> list[Move]:
-    spares = [pool for pool, load in loads.items() if load.is_spare]
-    if not spares:
-        return []
-    releases = []
-    for member in free:
+    def _beyond_needed(self, pool: PoolId) -> int:
+        """Return how many machines a pool has beyond its recent need."""
+        load = self._loads[pool]
+        need = max(self._needed[pool], load.recently_needed, load.least)
+        return self._have[pool] - need
+
+    def _move(self, member: Member, pool: PoolId) -> bool:
         if (
-            member.machine not in moved
-            and not loads[member.pool].is_spare
-            and member.idle_seconds >= IDLE_SECONDS
-            and kept(member.pool) > 0
+            member.machine in self._moved
+            or member.pool == pool
+            or (member.kind, pool) in self._refused
         ):
-            target = next(
-                (p for p in spares if (member.kind, p) not in refused), None
-            )
-            if target is not None:
-                releases.append(Move(member.machine, target))
-                have[member.pool] -= 1
-    return releases
+            return False
+        self.moves.append(Move(member.machine, pool))
+        self._moved.add(member.machine)
+        self._have[member.pool] -= 1
+        self._have[pool] += 1
+        return True
 
 
 def typical_capacity(capacities: list[Resources]) -> Resources | None:
--- a/galenarill/pools/tests/test_plan.py
+++ b/galenarill/pools/tests/test_plan.py
@@ -33,11 +33,24 @@
     assert Move("b1", "a") in plan_moves(loads(a=15, b=0), members)
 
 
+def test_a_pool_in_need_borrows_what_others_keep_for_work_to_come():
+    """Its own floor is no reason to borrow, and some machines are never."""
+    members = [member("a1", "a", 0.0)]
+    members += [member(f"b{n}", "b") for n in range(3)]
+    pools = loads(a=35, b=0)
+    pools["b"].floor, pools["b"].least = 3, 1
+    moves = plan_moves(pools, members)
+    assert moves == [Move("b0", "a"), Move("b1", "a")]
+    pools = loads(a=5, b=0)
+    pools["a"].floor = pools["b"].floor = 3
+    assert not plan_moves(pools, members)
+
+
 def test_no_pool_gives_what_it_needs_or_wanted_a_moment_ago():
     members = [member("a1", "a", 0.0), member("b1", "b")]
     assert not plan_moves(loads(a=15, b=0), members)
     pools = loads(a=15, b=0)
-    pools["b"].recently_wanted = 2
+    pools["b"].recently_needed = 2
     members.append(member("b2", "b"))
     assert not plan_moves(pools, members)
 
