Order no ended upkeep again, and give a machine one order at a time

The end of an upkeep was proposed and its acknowledgement forgotten in the same step, so until the log held the end the upkeep was ordered again; beside a move of the same machine the tokens arrived out of order, and the refusal was taken for another leader's. Change: ended upkeeps are remembered until the log holds them; a machine with an order under way is not free. And a fleet that has not worked yet stays awake. Tests: coordinator/tests/test_machines.py, both failed against the code before.

--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -81,6 +81,9 @@
         self._busy_until: dict[MachineId, float] = {}
         # Where machines go until the list shows it, and when that is given up.
         self._moving: dict[MachineId, tuple[PoolId, float]] = {}
+        # Machines with an order under way. A second one could overtake it, and
+        # the first would be refused for its lower token.
+        self._ordering: set[MachineId] = set()
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -137,6 +140,7 @@
             machine.state is MachineState.UP
             and self.is_ours(machine.id)
             and machine.id not in self._moving
+            and machine.id not in self._ordering
             and not self.is_busy(machine.id)
         )
 
@@ -197,8 +201,20 @@
         Returns:
             What became of it, and whether that is the answer to the first
             try: the answer to a later one may be about the first, which was
-            carried out before the machine's next worker began.
+            carried out before the machine's next worker began. A machine
+            that has an order under way is busy.
         """
+        if machine in self._ordering:
+            return MachineVerdict.BUSY, False
+        self._ordering.add(machine)
+        try:
+            return await self._try_order(machine, intent, call)
+        finally:
+            self._ordering.discard(machine)
+
+    async def _try_order(
+        self, machine: MachineId, intent: OrderUpkeep | PlaceMachine, call
+    ) -> tuple[MachineVerdict, bool]:
         tries = 0
         while True:
             await self._propose(msgspec.structs.replace(intent, at=wall_now()))
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -56,7 +56,8 @@
         # Since when tasks of a pool have found no worker.
         self._short_since: dict[PoolId, float] = {}
         self._needed: dict[PoolId, collections.deque] = {}
-        self._worked_at = steady_now()
+        # When passing jobs were last in progress, once there were any.
+        self._worked_at = float("inf")
         # What was last logged of each pool.
         self._logged: dict[PoolId, tuple] = {}
         self._logged_at = float("-inf")
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -125,6 +125,7 @@
         3.0,
     )
     leader, state = simulation.leader, simulation.state
+    simulation.fleet = fleet
     simulation.keeper = asyncio.ensure_future(
         keep_machines(
             fleet,
@@ -201,6 +202,43 @@
     assert machines.most_down <= 2
 
 
+def test_an_upkeep_that_has_ended_is_not_ordered_again(make):
+    """Not even while the log has yet to take in that it has ended."""
+    pools = {f"n{n}": "pool" for n in range(4)}
+    simulation, machines = make(pools, commit_seconds=0.3)
+    start_wave(simulation, pools, at_once=2)
+    simulation.advance(30)
+    assert simulation.state.waves[1].is_completed
+    ordered = [order[1] for order in machines.orders if order[0] == "maintain"]
+    assert sorted(ordered) == sorted(pools)
+
+
+def test_a_machine_has_one_order_at_a_time(make):
+    """A later order that overtakes has the earlier one refused."""
+    simulation, machines = make({"n0": "spare", "n1": "spare"})
+
+    async def order_twice():
+        fleet = simulation.fleet
+        return await asyncio.gather(
+            fleet.move("n0", "pool"),
+            fleet.move("n0", "spare"),
+            fleet.move("n1", "pool"),
+        )
+
+    simulation.advance(0.5)
+    machines.orders.clear()
+    done = (MachineVerdict.DONE, True)
+    assert simulation.run(order_twice()) == [
+        done,
+        (MachineVerdict.BUSY, False),
+        done,
+    ]
+    assert [order[:2] for order in machines.orders] == [
+        ("move", "n0"),
+        ("move", "n1"),
+    ]
+
+
 def test_a_step_never_misses_more_than_it_may(make):
     pools = {f"n{n}": "pool" for n in range(4)}
     simulation, _ = make(pools, seconds_of=lambda *_: (999.0, "done"))
--- a/galenarill/coordinator/waves.py
+++ b/galenarill/coordinator/waves.py
@@ -42,6 +42,8 @@
         self._open: dict[MachineId, WorkerId] = {}
         # When the upkeep of a machine was acknowledged, on the steady clock.
         self._acknowledged: dict[MachineId, float] = {}
+        # Upkeeps that have ended, which the log may not hold yet.
+        self._ended: set[tuple[int, MachineId]] = set()
 
     @property
     def is_working(self) -> bool:
@@ -50,6 +52,11 @@
 
     def step(self) -> None:
         """Finish what is back, and order what is due now."""
+        self._ended = {
+            (number, machine)
+            for number, machine in self._ended
+            if machine not in self._state.waves[number].finished
+        }
         for number, wave in self._state.waves.items():
             if not wave.is_completed and self._fleet.machines:
                 self._note_back(number, wave)
@@ -60,7 +67,7 @@
         for machine_id in wave.machines:
             machine = self._fleet.machines.get(machine_id)
             acknowledged = self._acknowledged.get(machine_id)
-            if machine_id in wave.finished:
+            if self._has_ended(number, wave, machine_id):
                 continue
             if machine is None:
                 self._finish(number, machine_id, "it is gone")
@@ -71,11 +78,15 @@
             ):
                 self._finish(number, machine_id, "it is back")
 
+    def _has_ended(self, number: int, wave: Wave, machine: MachineId) -> bool:
+        return machine in wave.finished or (number, machine) in self._ended
+
     def _finish(self, number: int, machine: MachineId, why: str) -> None:
         logger.info(
             "upkeep finished",
             extra={"wave": number, "machine": machine, "why": why},
         )
+        self._ended.add((number, machine))
         self._acknowledged.pop(machine, None)
         self._fleet.emptying.pop(machine, None)
         self._propose(FinishUpkeep(number, machine))
@@ -86,7 +97,7 @@
             machine = self._fleet.machines.get(machine_id)
             if (
                 machine is not None
-                and machine_id not in wave.finished
+                and not self._has_ended(number, wave, machine_id)
                 and machine_id not in self._acknowledged
                 and machine_id not in self._open
                 and self._fleet.is_ours(machine_id)
