--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -205,14 +205,6 @@
         """Return how many ready tasks of a pool found no worker."""
         return len(self._placer.unplaced.get(pool, ()))
 
-    def has_passing_jobs(self) -> bool:
-        """Tell whether a job is in progress that is not made to last."""
-        return any(
-            job.status is JobStatus.ACTIVE
-            and not all(step.lasts for step in job.spec.steps)
-            for job in self._state.jobs.values()
-        )
-
     def add_load(self, loads: dict[PoolId, PoolLoad]) -> None:
         """Add what runs and waits to the load of each pool."""
         routing = self._state.routing
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -34,12 +34,8 @@
 SHORT_SECONDS = 0.25
 # Least machines of a pool that serves, so that the loss of one stops nothing.
 MIN_MACHINES = 3
-# Least machines of a pool while another has nothing left to take, or while
-# the fleet is asleep.
+# Least machines of a pool while work of another waits.
 LEAST_MACHINES = 1
-# The fleet is asleep when no job but those that last has been in progress
-# anywhere for this long, in seconds: three times a move.
-SLEEP_SECONDS = 4.5
 
 
 class Mover:
@@ -56,8 +52,6 @@
         # Since when tasks of a pool have found no worker.
         self._short_since: dict[PoolId, float] = {}
         self._needed: dict[PoolId, collections.deque] = {}
-        # When passing jobs were last in progress, once there were any.
-        self._worked_at = float("inf")
         # What was last logged of each pool.
         self._logged: dict[PoolId, tuple] = {}
         self._logged_at = float("-inf")
@@ -83,14 +77,10 @@
                 self._idle_since.pop(worker, None)
 
     def _loads(self, now: float) -> dict[PoolId, PoolLoad]:
-        if self._leader.has_passing_jobs():
-            self._worked_at = now
-        is_asleep = now > self._worked_at + SLEEP_SECONDS
-        floor = LEAST_MACHINES if is_asleep else MIN_MACHINES
         loads = {
             pool.name: PoolLoad(pool.name, least=0, is_spare=True)
             if pool.is_spare
-            else PoolLoad(pool.name, floor=floor, least=LEAST_MACHINES)
+            else PoolLoad(pool.name, floor=MIN_MACHINES, least=LEAST_MACHINES)
             for pool in self._state.routing.configuration.pools
         }
         self._leader.add_load(loads)
