--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -10,6 +10,7 @@
 from galenarill.cli.config import config_app
 from galenarill.cli.fleet import status, vm_app
 from galenarill.cli.keys import key_app, operator_app
+from galenarill.cli.trace import trace
 from galenarill.errors import (
     GalenarillError,
     SettingsFindings,
@@ -33,6 +34,7 @@
 app.command(operator_app)
 app.command(vm_app)
 app.command(status)
+app.command(trace)
 
 
 @app.command
--- /dev/null
+++ b/galenarill/cli/trace.py
@@ -0,0 +1,95 @@
+"""The command that explains one request from logs."""
+
+import datetime
+import pathlib
+import sys
+from typing import TYPE_CHECKING, Annotated
+
+import cyclopts
+import msgspec
+
+from galenarill.errors import GalenarillError
+
+if TYPE_CHECKING:
+    from galenarill.telemetry import LogLine
+
+__all__ = ["trace"]
+
+
+def trace(
+    request: str,
+    files: Annotated[
+        list[pathlib.Path], cyclopts.Parameter(consume_multiple=True)
+    ],
+    *,
+    shift: Annotated[list[str], cyclopts.Parameter(negative="")] = (),
+    json: Annotated[bool, cyclopts.Parameter(negative="")] = False,
+) -> None:
+    """Tell the story of one request or job from the logs of all processes.
+
+    Shows each line that names it, and what happened meanwhile to its workers,
+    to leaders and to processes. Torn lines are passed over and counted.
+
+    Example: galenarill trace 7c357f4d33c3061a front-1.log core-1.log
+
+    Args:
+        request: Id of the request or job.
+        files: Logs; "-" is standard input.
+        shift: VM=SECONDS, added to the times of a VM whose clock was off.
+        json: Print JSON lines in place of text.
+    """
+    # The metrics that come with it would slow every other command's start.
+    from galenarill.telemetry import read_log, tell_story
+
+    shifts = dict(_parse_shift(text) for text in shift)
+    lines, unreadable = [], 0
+    for file in files:
+        found, torn = read_log(_lines_of(file), shifts)
+        lines += found
+        unreadable += torn
+    story = tell_story(lines, request)
+    begin = story[0].at if story else 0.0
+    for line in story:
+        print(_as_json(line) if json else _as_text(line, begin))
+    if unreadable:
+        print(f"{unreadable} unreadable lines passed over", file=sys.stderr)
+    if not story:
+        raise GalenarillError(f"no line in {len(lines)} names {request!r}")
+
+
+def _parse_shift(text: str) -> tuple[str, float]:
+    vm, equals, seconds = text.partition("=")
+    try:
+        if not vm or not equals:
+            raise ValueError
+        return vm, float(seconds)
+    except ValueError:
+        raise GalenarillError(
+            f"--shift must be VM=SECONDS, not {text!r}"
+        ) from None
+
+
+def _lines_of(file: pathlib.Path) -> list[str]:
+    try:
+        if str(file) == "-":
+            return sys.stdin.read().splitlines()
+        return file.read_text(encoding="utf-8", errors="replace").splitlines()
+    except OSError as error:
+        raise GalenarillError(f"cannot read {file}: {error}") from error
+
+
+def _as_text(line: "LogLine", begin: float) -> str:
+    fields = " ".join(f"{k}={_short(v)}" for k, v in line.fields.items())
+    return f"{line.at - begin:+9.3f}  {line.vm:20} {line.event:24} {fields}"
+
+
+def _short(value) -> str:
+    if isinstance(value, list):
+        return ",".join(str(item) for item in value)
+    return str(value)
+
+
+def _as_json(line: "LogLine") -> str:
+    at = datetime.datetime.fromtimestamp(line.at, datetime.UTC).isoformat()
+    record = {"at": at, "vm": line.vm, "event": line.event, **line.fields}
+    return msgspec.json.encode(record).decode()
--- a/galenarill/telemetry/pipe.py
+++ b/galenarill/telemetry/pipe.py
@@ -3,14 +3,16 @@
 import collections
 import logging
 import os
+import select
 import time
 
 __all__ = ["LogPipe", "EventLimiter"]
 
 # Bytes that may wait for a reader; beyond this, lines are dropped.
 MAX_WAITING_BYTES = 1 << 20
-# Bytes after which lines are written without waiting for the next flush.
-FLUSH_BYTES = 1 << 14
+# Bytes after which lines are written without waiting for the next flush, and
+# the most that one write holds: what a pipe takes as a whole or not at all.
+FLUSH_BYTES = select.PIPE_BUF
 # Lines of one event that are written in a second; the others are counted.
 LINES_PER_SECOND = 200
 
@@ -51,15 +53,14 @@
     def flush(self) -> None:
         """Write what the reader takes now."""
         while self._lines:
-            data = b"".join(self._lines)
-            self._lines.clear()
+            data = self._take_batch()
             try:
                 written = os.write(self._file, data)
             except (BlockingIOError, BrokenPipeError):
                 written = 0
-            self._waiting = len(data) - written
-            if self._waiting:
-                self._lines.append(data[written:])
+            self._waiting -= written
+            if written < len(data):
+                self._lines.appendleft(data[written:])
                 return
         if self._dropped:
             count, self._dropped = self._dropped, 0
@@ -67,6 +68,15 @@
                 "log lines dropped", extra={"count": count}
             )
 
+    def _take_batch(self) -> bytes:
+        """Take whole lines that fit into one write, one line at least."""
+        batch = [self._lines.popleft()]
+        size = len(batch[0])
+        while self._lines and size + len(self._lines[0]) <= FLUSH_BYTES:
+            batch.append(self._lines.popleft())
+            size += len(batch[-1])
+        return b"".join(batch)
+
 
 class EventLimiter(logging.Filter):
     """Lets a bounded number of lines of each event through a second.
--- a/galenarill/telemetry/tests/test_pipe.py
+++ b/galenarill/telemetry/tests/test_pipe.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import os
+import select
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -73,3 +74,30 @@
     assert passes("often", logging.WARNING)
     now[0] = 11.0
     assert passes("often")
+
+
+def test_each_write_holds_whole_lines_that_a_pipe_takes_at_once(monkeypatch):
+    """Else processes that share a pipe would tear each other's lines."""
+    reader, writer = os.pipe()
+    writes = []
+    real_write = os.write
+
+    def note(file, data):
+        writes.append(bytes(data))
+        return real_write(file, data)
+
+    monkeypatch.setattr(os, "write", note)
+    pipe = LogPipe(writer)
+    logger = _logger(pipe)
+    for number in range(150):
+        logger.info("y" * (number * 7 % 500))
+    pipe.flush()
+    monkeypatch.undo()
+    assert len(writes) > 1
+    for data in writes:
+        assert data.endswith(b"\n")
+        assert len(data) <= select.PIPE_BUF
+        for line in data.splitlines():
+            json.loads(line)
+    os.close(reader)
+    os.close(writer)
