--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -7,6 +7,7 @@
 
 import cyclopts
 
+from galenarill.cli.check import check
 from galenarill.cli.config import config_app
 from galenarill.cli.fleet import status, vm_app
 from galenarill.cli.keys import key_app, operator_app
@@ -33,6 +34,7 @@
 app.command(key_app)
 app.command(operator_app)
 app.command(vm_app)
+app.command(check)
 app.command(status)
 app.command(trace)
 
--- /dev/null
+++ b/galenarill/platform/tests/test_deployment.py
@@ -0,0 +1,79 @@
+"""The deploy file and its template are checked as a whole."""
+
+import pathlib
+
+import pytest
+
+from galenarill.errors import SettingsFindings
+from galenarill.platform.deployment import check_deployment
+
+ROOT = pathlib.Path(__file__).parents[3]
+ROLE = """
+[roles.gateway]
+run = "python3 -m galenarill gateway"
+on = "front"
+share = 1.0
+serves = ["front"]
+template = "deploy/settings.toml"
+"""
+
+
+def write(folder, role=ROLE, template=None):
+    (folder / "deploy").mkdir()
+    file = folder / "deploy/system.toml"
+    file.write_text(f'build = "true"\n{role}')
+    if template is None:
+        template = (ROOT / "deploy/settings.toml").read_text()
+    (folder / "deploy/settings.toml").write_text(template)
+    return file
+
+
+def faults_of(file):
+    with pytest.raises(SettingsFindings) as raised:
+        check_deployment(file)
+    return [error.finding.path for error in raised.value.exceptions]
+
+
+def test_the_projects_own_deployment_has_no_fault():
+    checked = check_deployment(ROOT / "deploy/system.toml")
+    assert [file.name for file in checked] == ["system.toml", "settings.toml"]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "path"),
+    [
+        ("galenarill gateway", "galenarill gatewy", "roles.gateway.run"),
+        ("python3 -m galenarill gateway", "./run.sh", "roles.gateway.run"),
+        ('on = "front"', "on = 3", "roles.gateway.on"),
+        ("share = 1.0", "share = 1.5", "roles.gateway.share"),
+        ("share = 1.0", "share = true", "roles.gateway.share"),
+        ("share = 1.0", "count = 0", "roles.gateway.count"),
+        ("share = 1.0", "share = 0.5\ncount = 1", "roles.gateway.share"),
+        ('["front"]', '["back"]', "roles.gateway.serves"),
+        ('["front"]', '["front"]\nmetrics = "7001"', "roles.gateway.metrics"),
+        ("settings.toml", "nothing.toml", ""),
+    ],
+)
+def test_each_fault_of_a_role_is_named(tmp_path, old, new, path):
+    file = write(tmp_path, ROLE.replace(old, new))
+    assert faults_of(file) == [path]
+
+
+def test_roles_of_one_class_do_not_share_an_audience(tmp_path):
+    other = ROLE.replace("roles.gateway", "roles.other")
+    assert faults_of(write(tmp_path, ROLE + other)) == ["roles"]
+
+
+def test_a_template_sets_each_setting_that_has_no_default_once(tmp_path):
+    template = (ROOT / "deploy/settings.toml").read_text()
+    template = template.replace("vm = ", "vn = ") + 'ip = "{{ip}"\n'
+    assert sorted(faults_of(write(tmp_path, template=template))) == [
+        "",
+        "ip",
+        "vm",
+        "vn",
+    ]
+
+
+def test_a_file_that_is_no_toml_is_one_fault(tmp_path):
+    assert faults_of(write(tmp_path, "[roles")) == [""]
