Show who leads, pools, tenants, configuration and readiness as gauges

Gauges of a leader (pool machines and unplaced tasks, a tenant's running processor, configuration version) count while galenarill_leads is 1; a gateway shows galenarill_ready. tests/test_platform.py reads them from running processes; its check of the metrics page, any name of ours, is replaced by named values.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -40,8 +40,13 @@
 logger = logging.getLogger(__name__)
 
 _TERMS = meter().create_counter("galenarill_terms_led")
+# Whether this coordinator leads: only then are its other gauges up to date.
+_LEADS = meter().create_gauge("galenarill_leads")
+_VERSION = meter().create_gauge("galenarill_configuration_version")
+_TENANT_CPU = meter().create_gauge("galenarill_tenant_running_cpu")
 
 TICK_SECONDS = 0.1
+GAUGE_SECONDS = 1.0
 # How long an ended job is kept, in seconds, beyond the platform's bound.
 KEEP_MARGIN_SECONDS = 30.0
 # From the decision to move a machine until its worker takes starts, in
@@ -102,6 +107,7 @@
     def start(self) -> None:
         """Take over what the state holds, and begin to schedule."""
         _TERMS.add(1)
+        _LEADS.set(1)
         logger.info("leading", extra={"term": self.term})
         now = steady_now()
         for job in self._state.jobs:
@@ -111,9 +117,11 @@
             self.note_report(known.report)
         self._term.spawn(self._placer.run())
         self._term.spawn(self._tick_forever())
+        self._term.spawn(self._set_gauges_forever())
 
     def stop(self) -> None:
         """Stop scheduling, since another coordinator may lead."""
+        _LEADS.set(0)
         logger.info("no longer leading", extra={"term": self.term})
         self._term.stop()
 
@@ -279,6 +287,13 @@
             self._forget_old_jobs()
             self._term.wake.set()
 
+    async def _set_gauges_forever(self) -> None:
+        while True:
+            _VERSION.set(self._state.routing.configuration.version)
+            for tenant, used in self.runs.used.items():
+                _TENANT_CPU.set(used.cpu, {"tenant": tenant})
+            await asyncio.sleep(GAUGE_SECONDS)
+
     def _forget_old_jobs(self) -> None:
         limit = wall_now() - self._keep_seconds
         old = tuple(
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -18,12 +18,16 @@
     plan_moves,
     typical_capacity,
 )
+from galenarill.telemetry import meter
 from galenarill.world import PoolId, WorkerId, steady_now
 
 __all__ = ["Mover"]
 
 logger = logging.getLogger(__name__)
 
+_MACHINES = meter().create_gauge("galenarill_pool_machines")
+_UNPLACED = meter().create_gauge("galenarill_pool_unplaced_tasks")
+
 # A pool keeps what it needed in the last seconds through a lull.
 LULL_SECONDS = 1.2
 POOL_LOG_SECONDS = 1.0
@@ -65,7 +69,7 @@
             self._member(machine, now)
             for machine in self._fleet.machines.values()
         ]
-        self._log_pools(loads, members, now)
+        self._report_pools(loads, members, now)
         for move in plan_moves(loads, members, self._refused):
             self._begin(move)
 
@@ -121,18 +125,20 @@
             self._fleet.is_moving(machine.id),
         )
 
-    def _log_pools(
+    def _report_pools(
         self,
         loads: dict[PoolId, PoolLoad],
         members: list[Member],
         now: float,
     ) -> None:
-        """Log pools that changed, each at most once a second."""
+        """Log pools that changed, and set gauges, at most once a second."""
         if now < self._logged_at + POOL_LOG_SECONDS:
             return
         self._logged_at = now
         machines = collections.Counter(member.pool for member in members)
         for pool, load in loads.items():
+            _MACHINES.set(machines[pool], {"pool": pool})
+            _UNPLACED.set(load.unplaced, {"pool": pool})
             line = (machines[pool], load.recently_needed, load.unplaced)
             if self._logged.get(pool) == line:
                 continue
--- a/galenarill/gateway/node.py
+++ b/galenarill/gateway/node.py
@@ -20,6 +20,7 @@
 logger = logging.getLogger(__name__)
 
 _REQUESTS = meter().create_counter("galenarill_requests")
+_READY = meter().create_gauge("galenarill_ready")
 _LATENCY = meter().create_histogram("galenarill_request_seconds", unit="s")
 
 PRESENCE_SECONDS = 0.3
@@ -69,6 +70,7 @@
         await self._mesh.start()
         try:
             while True:
+                _READY.set(int(self.is_ready))
                 for peer in self._mesh.connected:
                     self._mesh.send(peer, Presence(0, False, ()))
                 await asyncio.sleep(PRESENCE_SECONDS)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import pathlib
+import re
 import signal
 import sys
 import tempfile
@@ -223,10 +224,23 @@
                 "GET", f"http://{ip}:{CONTROL_PORT}/galenarill/config"
             )
             assert answer == (200, changed)
-        for ip in (CORE[0], FRONT[0]):
+        leader = await system.find_leader()
+        for ip, values in (
+            (leader, {"leads": 1, "configuration_version": 7}),
+            (FRONT[0], {"ready": 1}),
+        ):
             url = f"http://{ip}:{LINK_PORT + 1}/metrics"
-            async with system.session.get(url) as page:
-                assert "galenarill_" in await page.text()
+
+            async def shows_all(url=url, values=values):
+                async with system.session.get(url) as page:
+                    text = await page.text()
+                shown = [
+                    re.search(rf"galenarill_{name}{{.*}} {value}\.0\n", text)
+                    for name, value in values.items()
+                ]
+                return all(shown), text
+
+            await system.until(shows_all, True)
 
     run(scenario)
 
