Let urgent tasks take the room of less urgent ones

Cause: a queue of priority 0 may displace others, and waited behind them when the pool was full. Change: placement/preemption.py chooses, purely, the runs to stop: less urgent, neither lasting nor gangs, on the worker where the least work is lost, and none where room becomes free anyway; coordinator/preempting.py applies it to tasks that have waited 0.5 s. Proposed starts count only until the state holds them: a start counted twice for one step of the loop made a third run stop where two were needed (found by the test). Tests: placement/tests/test_preemption.py with a property test, two cases in coordinator/tests/test_leader.py.

--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -1,15 +1,25 @@
 """Places ready tasks: what waits, where there is room, what is proposed."""
 
 import asyncio
+import dataclasses
 import itertools
 import logging
+from collections.abc import Iterator
 
 from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.orders import RunOrders
+from galenarill.coordinator.preempting import Preemptor
 from galenarill.coordinator.progress import ProgressWatch
 from galenarill.coordinator.runs import Phase, TrackedRun, ready_tasks
 from galenarill.coordinator.term import Term
-from galenarill.jobs import Job, JobStatus, StartRun, Step, TaskKey
+from galenarill.jobs import (
+    Job,
+    JobStatus,
+    StartRun,
+    Step,
+    TaskKey,
+    task_name,
+)
 from galenarill.placement import (
     Budget,
     Candidate,
@@ -47,6 +57,16 @@
 DOUBT_SECONDS = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Start:
+    """A member's start that is proposed; `run` is its name and number."""
+
+    worker: WorkerId
+    step: Step
+    tenant: TeamId
+    run: tuple[str, int]
+
+
 class Placer:
     """Fits ready tasks onto workers, and proposes their starts."""
 
@@ -62,12 +82,10 @@
         self._advisor = advisor
         self._orders = orders
         self._progress = progress
+        self._preemptor = Preemptor(term, orders)
         self._ready: dict[JobId, list[TaskKey]] = {}
-        # Tasks whose start is proposed but not applied yet: the worker, step
-        # and tenant of each member.
-        self._proposed: dict[
-            tuple[JobId, TaskKey], list[tuple[WorkerId, Step, TeamId]]
-        ] = {}
+        # Starts that are proposed, by task, until their commit is known.
+        self._proposed: dict[tuple[JobId, TaskKey], list[_Start]] = {}
         self._cordoned: set[WorkerId] = set()
         self.unplaced: dict[PoolId, list[Step]] = {}
 
@@ -91,11 +109,7 @@
 
     def is_proposed_on(self, worker: WorkerId) -> bool:
         """Tell whether a start on a worker is proposed."""
-        return any(
-            worker == member
-            for members in self._proposed.values()
-            for member, _, _ in members
-        )
+        return any(start.worker == worker for _, start in self._open_starts())
 
     def refresh(self, job_id: JobId) -> None:
         """Find anew which tasks of a job are ready."""
@@ -129,13 +143,15 @@
 
     def _place(self) -> None:
         candidates = self._candidates()
-        placements = plan(candidates, self._rooms(), self._budgets())
+        rooms, budgets = self._rooms(), self._budgets()
+        placements = plan(candidates, rooms, budgets)
         placed = {(p.candidate.job, p.candidate.key) for p in placements}
+        unplaced = [c for c in candidates if (c.job, c.key) not in placed]
         self.unplaced = {}
-        for candidate in candidates:
-            if (candidate.job, candidate.key) not in placed:
-                steps = self.unplaced.setdefault(candidate.pool, [])
-                steps.append(candidate.step)
+        for candidate in unplaced:
+            steps = self.unplaced.setdefault(candidate.pool, [])
+            steps.append(candidate.step)
+        self._preemptor.step(unplaced, rooms, budgets)
         if placements:
             commands = [
                 self._propose(placement, len(candidates))
@@ -152,8 +168,13 @@
         if not job.has_started:
             _FIRST_START.record(max(0.0, wall_now() - job.accepted_at))
         self._proposed[candidate.job, candidate.key] = [
-            (life.worker, candidate.step, candidate.tenant)
-            for _, life in placement.members
+            _Start(
+                life.worker,
+                candidate.step,
+                candidate.tenant,
+                (task_name(candidate.job, candidate.key, member), number),
+            )
+            for member, life in placement.members
         ]
         logger.info(
             "task placed",
@@ -176,6 +197,13 @@
             self._proposed.pop(place, None)
         self._term.wake.set()
 
+    def _open_starts(self) -> Iterator[tuple[tuple[JobId, TaskKey], _Start]]:
+        """Yield the proposed starts that the state does not hold yet."""
+        for place, starts in self._proposed.items():
+            for start in starts:
+                if start.run not in self._term.runs.by_name:
+                    yield place, start
+
     def _candidates(self) -> list[Candidate]:
         """Return ready tasks, the most urgent first."""
         wall = wall_now()
@@ -253,18 +281,16 @@
             if run.key[:2] == key[:2]:
                 worker = run.incarnation.worker
                 counts[worker] = counts.get(worker, 0) + 1
-        for (other, place), members in self._proposed.items():
+        for (other, place), start in self._open_starts():
             if other == job and place[:2] == key[:2]:
-                for worker, _, _ in members:
-                    counts[worker] = counts.get(worker, 0) + 1
+                counts[start.worker] = counts.get(start.worker, 0) + 1
         return counts
 
     def _rooms(self) -> dict[PoolId, list[Room]]:
         now = steady_now()
         proposed: dict[WorkerId, Resources] = {}
-        for members in self._proposed.values():
-            for worker, step, _ in members:
-                _add(proposed, worker, step.reserved)
+        for _, start in self._open_starts():
+            _add(proposed, start.worker, start.step.reserved)
         rooms: dict[PoolId, list[Room]] = {}
         for worker, contact in self._term.contacts.items():
             if not self._takes_starts(contact, now):
@@ -291,9 +317,8 @@
 
     def _budgets(self) -> dict[TeamId, Budget]:
         used = dict(self._term.runs.used)
-        for members in self._proposed.values():
-            for _, step, tenant in members:
-                _add(used, tenant, step.need)
+        for _, start in self._open_starts():
+            _add(used, start.tenant, start.step.need)
         return {
             tenant.name: Budget(
                 tenant.upper_limit, used.get(tenant.name, Resources())
--- /dev/null
+++ b/galenarill/coordinator/preempting.py
@@ -0,0 +1,115 @@
+"""Stops less urgent runs where urgent tasks have waited for room."""
+
+import logging
+
+from galenarill.coordinator.orders import RunOrders
+from galenarill.coordinator.runs import Phase, TrackedRun
+from galenarill.coordinator.term import Term
+from galenarill.jobs import TaskKey
+from galenarill.placement import (
+    Budget,
+    Candidate,
+    Occupant,
+    Room,
+    choose_victims,
+)
+from galenarill.world import JobId, PoolId, TeamId, WorkerId, steady_now
+
+__all__ = ["Preemptor"]
+
+logger = logging.getLogger(__name__)
+
+# How long an urgent task waits for room before it takes some, in seconds:
+# about as long as a machine on its way needs at least.
+PATIENCE_SECONDS = 0.5
+# Work that a task with checkpoints does again, in seconds: the period of the
+# platform's checkpoints.
+CHECKPOINT_SECONDS = 1.0
+# Tasks that are weighed in one round.
+MAX_WAITING = 20
+
+
+class Preemptor:
+    """Makes room for urgent tasks, as little as they need."""
+
+    def __init__(self, term: Term, orders: RunOrders):
+        """Stop runs of `term` by `orders`."""
+        self._term = term
+        self._orders = orders
+        # Since when tasks have found no worker, on the steady clock.
+        self._since: dict[tuple[JobId, TaskKey], float] = {}
+
+    def step(
+        self,
+        unplaced: list[Candidate],
+        rooms: dict[PoolId, list[Room]],
+        budgets: dict[TeamId, Budget],
+    ) -> None:
+        """Stop what urgent tasks displace now.
+
+        Args:
+            unplaced: Tasks that found no worker, the most urgent first.
+            rooms: Workers by pool, with what is free after all placements.
+            budgets: What each tenant may still start.
+        """
+        now = steady_now()
+        places = [(candidate.job, candidate.key) for candidate in unplaced]
+        self._since = {place: self._since.get(place, now) for place in places}
+        waiting = [
+            (candidate, self._priority(candidate.job))
+            for candidate, place in zip(unplaced, places, strict=True)
+            if now >= self._since[place] + PATIENCE_SECONDS
+        ][:MAX_WAITING]
+        if not waiting:
+            return
+        most_urgent = min(priority for _, priority in waiting)
+        pools = {candidate.pool for candidate, _ in waiting}
+        occupants = {
+            room.report.worker: self._occupants(room.report.worker, now)
+            for pool in pools
+            for room in rooms.get(pool, [])
+        }
+        if not any(
+            occupant.priority > most_urgent
+            for present in occupants.values()
+            for occupant in present
+        ):
+            return
+        for occupant in choose_victims(waiting, rooms, budgets, occupants):
+            self._stop(self._term.runs.by_name[occupant.run])
+
+    def _occupants(self, worker: WorkerId, now: float) -> list[Occupant]:
+        return [
+            Occupant(
+                (run.name, run.number),
+                self._priority(run.job),
+                run.step.reserved,
+                CHECKPOINT_SECONDS
+                if run.step.is_checkpointing
+                else now - run.begun_at,
+                run.phase in (Phase.STOPPING, Phase.STOPPED),
+                run.phase is Phase.RUNNING
+                and not run.step.lasts
+                and not run.step.is_gang,
+            )
+            for run in self._term.runs.on_worker(worker)
+        ]
+
+    def _priority(self, job_id: JobId) -> int:
+        job = self._term.state.jobs[job_id]
+        queue = self._term.state.routing.queue(job.queue)
+        # Jobs of a queue that was removed are not placed; none displaces them.
+        return queue.priority if queue is not None else 0
+
+    def _stop(self, run: TrackedRun) -> None:
+        logger.info(
+            "task preempted",
+            extra={
+                "job": run.job,
+                "task": run.name,
+                "run": run.number,
+                "worker": run.incarnation.worker,
+                "begun_seconds_ago": round(steady_now() - run.begun_at, 3),
+            },
+        )
+        self._orders.stop_soon(run)
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -4,6 +4,8 @@
 import itertools
 import random
 
+import msgspec
+
 from galenarill.coordinator.leader import Leader
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
@@ -40,9 +42,11 @@
     policy = AdvicePolicy(100, 10, 1000) if advice else None
     queue = Queue("q", "h", "/q/", "pool", 0, attempts, 1.5, 600, True, policy)
     tenant = Tenant("t", ("key",), 1.0, Resources(limit))
+    urgent = msgspec.structs.replace(queue, name="urgent", prefix="/u/")
+    queue = msgspec.structs.replace(queue, priority=1)
     return Configuration(
         version,
-        (queue,),
+        (queue, urgent),
         (
             Pool("pool", True, False),
             Pool("spare", True, True),
@@ -178,11 +182,11 @@
         self.advance(0.01)
         self.call(self.report, self.call(self.network.add, name))
 
-    def submit(self, job, count=3, tenant="", **options):
+    def submit(self, job, count=3, tenant="", queue="q", **options):
         spec = JobSpec("x", (Step(count, ONE, **options),))
 
         async def accept():
-            self.apply([AcceptJob(job, "q", tenant, spec, self.loop.time())])
+            self.apply([AcceptJob(job, queue, tenant, spec, self.loop.time())])
 
         self.run(accept())
 
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -389,3 +389,30 @@
     simulation.advance(6)
     assert simulation.status("j") is JobStatus.COMPLETED
     assert [begun.run for begun in network.history] == [1, 1]
+
+
+def test_urgent_tasks_take_the_room_of_others_after_a_while(make):
+    simulation = make(seconds_of=lambda task, run: (9.0, "done"), workers=1)
+    simulation.submit("j", count=4)
+    simulation.advance(1)
+    simulation.submit("u", count=2, queue="urgent")
+    simulation.advance(0.4)
+    assert len(simulation.network.history) == 4
+    simulation.advance(1.0)
+    begun = [run.task for run in simulation.network.history[4:]]
+    assert begun == ["u.0.0.0", "u.0.0.1"]
+    stopped = [run for run in simulation.network.history if run.how]
+    assert [run.how for run in stopped] == ["stopped"] * 2
+    simulation.advance(25)
+    assert simulation.status("u") is JobStatus.COMPLETED
+    assert simulation.status("j") is JobStatus.COMPLETED
+    simulation.check()
+
+
+def test_tasks_that_last_are_not_displaced(make):
+    simulation = make(seconds_of=lambda task, run: (99.0, "done"), workers=1)
+    simulation.submit("j", count=4, lasts=True)
+    simulation.advance(1)
+    simulation.submit("u", count=1, queue="urgent")
+    simulation.advance(3)
+    assert len(simulation.network.history) == 4
--- a/galenarill/placement/__init__.py
+++ b/galenarill/placement/__init__.py
@@ -2,4 +2,5 @@
 
 from galenarill.placement.order import *  # noqa: F403
 from galenarill.placement.plan import *  # noqa: F403
+from galenarill.placement.preemption import *  # noqa: F403
 from galenarill.placement.shares import *  # noqa: F403
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -8,7 +8,7 @@
 from galenarill.workers import WorkerReport
 from galenarill.world import JobId, PoolId, TeamId, WorkerId
 
-__all__ = ["Candidate", "Room", "Budget", "Placement", "plan"]
+__all__ = ["Candidate", "Room", "Budget", "Placement", "plan", "may_run_on"]
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,6 +145,11 @@
     return placements
 
 
+def may_run_on(candidate: Candidate, room: Room) -> bool:
+    """Tell whether a worker may run one more task, if it has room."""
+    return _is_admitted(candidate, room) and _may_add(candidate, room, 0)
+
+
 def _sound(rooms: list[Room]) -> list[Room]:
     return [room for room in rooms if not room.is_suspect] or rooms
 
@@ -157,11 +162,7 @@
     suitable = [
         room
         for room in rooms
-        if (not step.label or step.label in room.report.labels)
-        and (
-            candidate.tickets is None or room.report.worker in candidate.tickets
-        )
-        and step.reserved.fits(room.free)
+        if _is_admitted(candidate, room) and step.reserved.fits(room.free)
     ]
     if count == 1:
         allowed = [r for r in suitable if _may_add(candidate, r, 0)]
@@ -194,6 +195,13 @@
     return chosen if len(chosen) == count else None
 
 
+def _is_admitted(candidate: Candidate, room: Room) -> bool:
+    label, worker = candidate.step.label, room.report.worker
+    return (not label or label in room.report.labels) and (
+        candidate.tickets is None or worker in candidate.tickets
+    )
+
+
 def _may_add(candidate: Candidate, room: Room, added: int) -> bool:
     most = candidate.step.max_per_worker
     beside = candidate.beside.get(room.report.worker, 0) + added
--- /dev/null
+++ b/galenarill/placement/preemption.py
@@ -0,0 +1,119 @@
+"""Which less urgent tasks are stopped so that urgent ones find room."""
+
+import dataclasses
+from collections.abc import Hashable, Iterable
+
+from galenarill.jobs import GANG
+from galenarill.placement.plan import Budget, Candidate, Room, may_run_on
+from galenarill.routing import Resources
+from galenarill.world import PoolId, TeamId, WorkerId
+
+__all__ = ["Occupant", "choose_victims"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Occupant:
+    """A run that holds room on a worker.
+
+    Attributes:
+        run: What the caller knows it by.
+        priority: Priority of its queue; 0 is the most urgent.
+        reserved: Room that it holds.
+        lost_seconds: Work that would be done again.
+        is_stopping: Whether its room becomes free anyway.
+        may_stop: Whether it may be stopped for another.
+    """
+
+    run: Hashable
+    priority: int
+    reserved: Resources
+    lost_seconds: float = 0.0
+    is_stopping: bool = False
+    may_stop: bool = True
+
+
+def choose_victims(
+    waiting: Iterable[tuple[Candidate, int]],
+    rooms: dict[PoolId, list[Room]],
+    budgets: dict[TeamId, Budget],
+    occupants: dict[WorkerId, list[Occupant]],
+) -> list[Occupant]:
+    """Return the runs to stop.
+
+    A task takes the room of less urgent ones only, on the worker where the
+    least work is lost, and none where enough room becomes free anyway.
+
+    Args:
+        waiting: Tasks that found no worker and their queues' priorities, the
+            most urgent first. Gangs are passed over.
+        rooms: Workers by pool, with what is free after all placements.
+        budgets: What each tenant may still start; reduced by what is planned.
+        occupants: Runs by worker.
+    """
+    free = {
+        room.report.worker: room.free.plus(_coming(occupants, room))
+        for members in rooms.values()
+        for room in members
+    }
+    victims: list[Occupant] = []
+    for candidate, priority in waiting:
+        need = candidate.step.reserved
+        budget = budgets.get(candidate.tenant)
+        if candidate.key.index == GANG or (
+            budget is not None and not budget.allows(candidate.step.need)
+        ):
+            continue
+        choices = []
+        for room in rooms.get(candidate.pool, []):
+            worker = room.report.worker
+            if room.is_suspect or not may_run_on(candidate, room):
+                continue
+            chosen = _make_room(
+                need,
+                free[worker],
+                [
+                    occupant
+                    for occupant in occupants.get(worker, [])
+                    if occupant.may_stop
+                    and not occupant.is_stopping
+                    and occupant.priority > priority
+                    and occupant not in victims
+                ],
+            )
+            if chosen is not None:
+                lost = sum(o.lost_seconds * o.reserved.cpu for o in chosen)
+                choices.append((lost, worker, chosen))
+        if not choices:
+            continue
+        _, worker, chosen = min(choices, key=lambda choice: choice[:2])
+        victims += chosen
+        for occupant in chosen:
+            free[worker] = free[worker].plus(occupant.reserved)
+        free[worker] = free[worker].minus(need)
+        candidate.beside[worker] = candidate.beside.get(worker, 0) + 1
+        if budget is not None:
+            budget.used = budget.used.plus(candidate.step.need)
+    return victims
+
+
+def _coming(occupants: dict[WorkerId, list[Occupant]], room: Room) -> Resources:
+    """Return the room that becomes free without a further order."""
+    total = Resources()
+    for occupant in occupants.get(room.report.worker, []):
+        if occupant.is_stopping:
+            total = total.plus(occupant.reserved)
+    return total
+
+
+def _make_room(
+    need: Resources, free: Resources, occupants: list[Occupant]
+) -> list[Occupant] | None:
+    """Return what has to stop until `need` fits, or None if it never does."""
+    chosen: list[Occupant] = []
+    occupants = sorted(occupants, key=lambda o: (-o.priority, o.lost_seconds))
+    for occupant in occupants:
+        if need.fits(free):
+            break
+        chosen.append(occupant)
+        free = free.plus(occupant.reserved)
+    return chosen if need.fits(free) else None
--- /dev/null
+++ b/galenarill/placement/tests/test_preemption.py
@@ -0,0 +1,126 @@
+"""Urgent tasks take the room of less urgent ones, and no more than needed."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from galenarill.jobs import GANG, Step, TaskKey
+from galenarill.placement import (
+    Budget,
+    Candidate,
+    Occupant,
+    Room,
+    choose_victims,
+)
+from galenarill.routing import Resources
+from galenarill.workers import WorkerReport
+
+
+def room(name, free=0, labels=(), **options):
+    report = WorkerReport(
+        name, 1, 1, "p", "", "h:1", "a", "r1", labels, Resources(4, 4)
+    )
+    return Room(report, Resources(free, free), **options)
+
+
+def task(index=0, cpu=1, **options):
+    step = Step(9, Resources(cpu, cpu), **options)
+    return Candidate("urgent", TaskKey(0, 0, index), step, "p", "t")
+
+
+def occupant(run, priority=1, cpu=1, **options):
+    return Occupant(run, priority, Resources(cpu, cpu), **options)
+
+
+def victims(waiting, rooms, occupants, budgets=None, priority=0):
+    chosen = choose_victims(
+        [(candidate, priority) for candidate in waiting],
+        {"p": rooms},
+        budgets or {},
+        occupants,
+    )
+    return [occupant.run for occupant in chosen]
+
+
+def test_the_run_that_loses_the_least_work_stops():
+    occupants = {
+        "w1": [occupant("a", lost_seconds=5.0)],
+        "w2": [occupant("b", lost_seconds=1.0), occupant("c", lost_seconds=9)],
+    }
+    rooms = [room("w1"), room("w2")]
+    assert victims([task()], rooms, occupants) == ["b"]
+
+
+def test_equals_and_more_urgent_ones_are_left():
+    occupants = {"w1": [occupant("a", 0), occupant("b", 1)]}
+    assert not victims([task()], [room("w1")], occupants, priority=1)
+    assert victims([task()], [room("w1")], occupants) == ["b"]
+
+
+def test_nothing_stops_where_it_would_not_be_enough():
+    occupants = {"w1": [occupant("a"), occupant("b", may_stop=False)]}
+    assert not victims([task(cpu=2)], [room("w1")], occupants)
+
+
+def test_room_that_becomes_free_anyway_is_waited_for():
+    occupants = {"w1": [occupant("a", is_stopping=True), occupant("b")]}
+    assert not victims([task()], [room("w1")], occupants)
+    assert victims([task(0), task(1)], [room("w1")], occupants) == ["b"]
+
+
+def test_labels_budgets_suspects_and_gangs_hold():
+    occupants = {"w1": [occupant("a")]}
+    assert not victims([task(label="big")], [room("w1")], occupants)
+    assert victims([task(label="big")], [room("w1", 0, ("big",))], occupants)
+    full = {"t": Budget(Resources(3), Resources(3))}
+    assert not victims([task()], [room("w1")], occupants, full)
+    suspect = room("w1", is_suspect=True)
+    assert not victims([task()], [suspect], occupants)
+    assert not victims([task(GANG, is_gang=True)], [room("w1")], occupants)
+
+
+def test_tasks_that_keep_apart_do_not_share_the_room():
+    occupants = {"w1": [occupant("a"), occupant("b")], "w2": [occupant("c")]}
+    beside = {}
+    waiting = [task(0, max_per_worker=1), task(1, max_per_worker=1)]
+    for candidate in waiting:
+        candidate.beside = beside
+    chosen = victims(waiting, [room("w1"), room("w2")], occupants)
+    assert sorted(chosen) == ["a", "c"]
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    st.lists(st.integers(1, 3), max_size=5),
+    st.lists(
+        st.tuples(
+            st.integers(0, 2), st.integers(1, 3), st.booleans(), st.booleans()
+        ),
+        max_size=6,
+    ),
+    st.integers(0, 2),
+)
+def test_no_more_stops_than_the_waiting_tasks_need(needs, present, free):
+    """Only less urgent ones that may stop, none twice, and each is needed."""
+    occupants = [
+        occupant(n, priority, cpu, may_stop=may, is_stopping=stopping)
+        for n, (priority, cpu, may, stopping) in enumerate(present)
+    ]
+    waiting = [task(n, cpu=cpu) for n, cpu in enumerate(needs)]
+    chosen = choose_victims(
+        [(candidate, 0) for candidate in waiting],
+        {"p": [room("w1", free)]},
+        {},
+        {"w1": occupants},
+    )
+    assert len({victim.run for victim in chosen}) == len(chosen)
+    for victim in chosen:
+        assert victim.priority > 0
+        assert victim.may_stop
+        assert not victim.is_stopping
+    coming = sum(o.reserved.cpu for o in occupants if o.is_stopping)
+    freed = sum(victim.reserved.cpu for victim in chosen)
+    if chosen:
+        smallest = min(victim.reserved.cpu for victim in chosen)
+        # Without the last and smallest one something would not have fitted.
+        assert freed - smallest < sum(needs)
+        assert free + coming < sum(needs)
