Weigh a preemption only in pools that run less urgent queues

Cause (by reading): every task that had waited 0.5 s made the leader list the runs of all workers of its pool each 10 ms, though most pools have queues of one priority only. Change: pools without a less urgent queue are left out before anything is listed.

--- a/galenarill/coordinator/preempting.py
+++ b/galenarill/coordinator/preempting.py
@@ -55,29 +55,29 @@
         now = steady_now()
         places = [(candidate.job, candidate.key) for candidate in unplaced]
         self._since = {place: self._since.get(place, now) for place in places}
+        least_urgent = self._least_urgent() if unplaced else {}
         waiting = [
-            (candidate, self._priority(candidate.job))
+            (candidate, priority)
             for candidate, place in zip(unplaced, places, strict=True)
             if now >= self._since[place] + PATIENCE_SECONDS
+            and (priority := self._priority(candidate.job))
+            < least_urgent.get(candidate.pool, 0)
         ][:MAX_WAITING]
-        if not waiting:
-            return
-        most_urgent = min(priority for _, priority in waiting)
-        pools = {candidate.pool for candidate, _ in waiting}
         occupants = {
             room.report.worker: self._occupants(room.report.worker, now)
-            for pool in pools
+            for pool in {candidate.pool for candidate, _ in waiting}
             for room in rooms.get(pool, [])
         }
-        if not any(
-            occupant.priority > most_urgent
-            for present in occupants.values()
-            for occupant in present
-        ):
-            return
         for occupant in choose_victims(waiting, rooms, budgets, occupants):
             self._stop(self._term.runs.by_name[occupant.run])
 
+    def _least_urgent(self) -> dict[PoolId, int]:
+        """Return the priority of the least urgent queue of each pool."""
+        least: dict[PoolId, int] = {}
+        for queue in self._term.state.routing.configuration.queues:
+            least[queue.pool] = max(least.get(queue.pool, 0), queue.priority)
+        return least
+
     def _occupants(self, worker: WorkerId, now: float) -> list[Occupant]:
         return [
             Occupant(
