Keep keys fresh while newer entries are applied

Cause: a replica that has learned a newer read index isn't caught up until it has applied it, a turn of the loop later; requests with keys in between were refused with keys-not-fresh. It holds the state that a replica without contact would keep. Change: the key ring counts the state as up to date for 1.5 s after it last was. A state that stays behind longer makes keys stale, as before.

--- a/galenarill/entry/keyring.py
+++ b/galenarill/entry/keyring.py
@@ -21,6 +21,11 @@
 
 logger = logging.getLogger(__name__)
 
+# Time for which keys stay fresh while newer log entries are being applied, in
+# seconds. More than a heartbeat period, in which the state is looked at, and
+# less than the time for which confirmations count.
+CATCH_UP_GRACE_SECONDS = 1.5
+
 
 class KeyVerdict(enum.Enum):
     """Result of the authentication of a key."""
@@ -63,6 +68,8 @@
         self._is_caught_up = is_caught_up
         self._freshness = KeyFreshness(self._vm, settings.zones)
         self._withdrawn: set[KeyId] = set()
+        # Until when the replicated state counts as up to date.
+        self._caught_up_until = float("-inf")
         self._digest = 0
         self._sequence = 0
 
@@ -78,9 +85,9 @@
 
     def is_fresh(self) -> bool:
         """Return whether requests with keys may be accepted."""
-        return self._is_caught_up() and self._freshness.is_fresh(
-            self._loop.time()
-        )
+        now = self._loop.time()
+        self._note_caught_up(now)
+        return now < self._caught_up_until and self._freshness.is_fresh(now)
 
     def is_withdrawn(self, key_id: KeyId) -> bool:
         """Return whether `key_id` is known to be withdrawn."""
@@ -132,6 +139,7 @@
 
     def state_changed(self) -> None:
         """Withdraw the keys that the replicated state marks as withdrawn."""
+        self._note_caught_up(self._loop.time())
         records = self._get_state().keys.values()
         self.withdraw([r.key_id for r in records if r.is_withdrawn])
 
@@ -139,6 +147,7 @@
         self, peer: VmId, epoch: str, is_leaving: bool
     ) -> Heartbeat:
         """Return the next heartbeat for `peer`."""
+        self._note_caught_up(self._loop.time())
         self._sequence += 1
         self._freshness.record_heartbeat_sent(
             peer, self._sequence, self._loop.time()
@@ -169,3 +178,7 @@
     def reachable(self) -> list[VmId]:
         """Return the peers that have recently confirmed the withdrawn keys."""
         return self._freshness.reachable(self._loop.time())
+
+    def _note_caught_up(self, now: float) -> None:
+        if self._is_caught_up():
+            self._caught_up_until = now + CATCH_UP_GRACE_SECONDS
