Assign runs of a restarted worker to its next incarnation

Cause: orders name a worker's id, which its next incarnation may keep, so a start meant for an earlier life may be carried out by the next one. Runs of earlier lives were declared lost at once and placed again: a task ran twice. A run committed after the restart of its worker was never ordered and never ended. The stand-in is as strict as the protocol here: X-Galenarill-Expect-Instance names the id as well. Change: runs that the earlier life had listed are lost; any other is assigned to the next life, whose lists say whether it runs there; if not, it is stopped there, which bars a late order, and placed again. A life known only by its lists gets a session at once, but no starts before its own report. Its lease may last as long as workers accept (new setting max_worker_lease_ms). A run whose worker is gone before its first order is released.

--- a/galenarill/coordinator/endings.py
+++ b/galenarill/coordinator/endings.py
@@ -5,9 +5,9 @@
 
 from galenarill.common import WorkerId, monotonic_now, wall_now
 from galenarill.coordinator.progress import ProgressMonitor
-from galenarill.coordinator.runs import TrackedRun
+from galenarill.coordinator.runs import Phase, TrackedRun
 from galenarill.coordinator.term import TermContext
-from galenarill.jobs import EndRun, RunOutcome
+from galenarill.jobs import EndRun, Incarnation, RunOutcome
 from galenarill.routing import Resources
 from galenarill.telemetry import meter
 from galenarill.workers import EndedRow, WorkerReport, WorkerSession
@@ -114,6 +114,32 @@
             )
             self._context.spawn(self.end(run, RunOutcome.LOST))
 
+    def end_or_displace_runs(
+        self, worker: WorkerId, why: str, born: int
+    ) -> list[TrackedRun]:
+        """Handle the runs of incarnations before the one that began at `born`.
+
+        Runs that an earlier incarnation listed are committed as lost. The
+        start order of any other run may have reached the later incarnation
+        under the same id; such a run is assigned to that incarnation, whose
+        lists decide.
+
+        Returns:
+            The runs that were assigned to the later incarnation.
+        """
+        displaced = []
+        for run in self._context.runs.on_worker(worker):
+            if run.incarnation.born >= born:
+                continue
+            if run.row is None or run.has_unanswered_start:
+                run.incarnation = Incarnation(worker, born)
+                run.phase, run.phase_since = Phase.INHERITED, monotonic_now()
+                run.row, run.progress = None, None
+                run.is_displaced = True
+                displaced.append(run)
+        self.end_lost_runs(worker, why, born)
+        return displaced
+
     async def end_lost_runs_later(self, report: WorkerReport) -> None:
         """Commit a departed worker's runs as lost after a grace period."""
         await asyncio.sleep(DEPARTURE_GRACE_SECONDS)
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -72,6 +72,7 @@
         propose: Callable[..., asyncio.Future],
         has_leader_lease: Callable[[], bool],
         retention_seconds: float,
+        max_lease_seconds: float,
         advice_client: AdviceClient | None = None,
     ):
         """Create the scheduler of a term; `start` starts it.
@@ -84,13 +85,14 @@
             propose: Proposes commands, and returns a future of their commit.
             has_leader_lease: Returns whether leadership is confirmed.
             retention_seconds: How long the status of ended jobs is kept.
+            max_lease_seconds: Longest lease that a worker accepts.
             advice_client: Client of the policy service, or None.
         """
         self._state = state
         self._registry = registry
         self._retention_seconds = retention_seconds + RETENTION_MARGIN_SECONDS
         self._context = TermContext(
-            term, state, client, propose, has_leader_lease
+            term, state, client, propose, has_leader_lease, max_lease_seconds
         )
         self._progress_monitor = ProgressMonitor(self._context)
         self._end_committer = RunEndCommitter(
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -342,6 +342,7 @@
             self._proposals.propose,
             self._has_leader_lease,
             settings.keep_job_seconds,
+            settings.max_worker_lease_ms / 1000,
             self._advice_client,
         )
         self._leader.start()
--- a/galenarill/coordinator/orders.py
+++ b/galenarill/coordinator/orders.py
@@ -49,6 +49,9 @@
         while self._context.is_wanted(run) and run.phase is Phase.STARTING:
             session = self._context.session_of(run)
             if session is None:
+                if not run.has_unanswered_start:
+                    # The incarnation ended before its start was committed.
+                    await self._end_committer.end(run, RunOutcome.REJECTED)
                 return
             if self._context.is_draining(session):
                 await self._release_unstarted(run)
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -329,6 +329,7 @@
         report = session.report
         return (
             session.is_synced
+            and not session.is_provisional
             and self._context.is_answering(session)
             and not self._context.is_draining(session)
             and report.worker not in self._cordoned
--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 
+import msgspec
+
 from galenarill.common import WorkerId, monotonic_now
 from galenarill.coordinator.endings import ALL_INCARNATIONS, RunEndCommitter
 from galenarill.coordinator.orders import RunOrders
@@ -17,6 +19,7 @@
     WorkerLists,
     WorkerReport,
     WorkerSession,
+    worst_case_seconds,
 )
 
 __all__ = ["LeaseRenewer"]
@@ -52,23 +55,36 @@
         session = self._context.sessions.get(report.worker)
         if session is not None and session.report.born == report.born:
             session.report = report
+            session.is_provisional = False
             self._context.wake.set()
             return
+        if session is not None and session.report.born > report.born:
+            return
         if self._is_superseded(report):
             return
         if session is not None:
             self.drop_session(session, "a later life has begun")
         self._replace_others_on_machine(report)
-        session = WorkerSession(report, self._context.began_at)
+        self._open_session(WorkerSession(report, self._context.began_at))
+
+    def _open_session(self, session: WorkerSession) -> None:
+        """Begin to renew the lease of an incarnation of a worker."""
+        report = session.report
         self._context.sessions[report.worker] = session
-        # Runs of earlier incarnations of this worker no longer exist.
-        self._end_committer.end_lost_runs(
+        if self._end_committer.end_or_displace_runs(
             report.worker, "an earlier life is over", report.born
-        )
+        ):
+            # Start orders carry the end of a lease on the clock of the earlier
+            # incarnation, which means nothing on this one's.
+            session.assume_lease_until(
+                monotonic_now()
+                + worst_case_seconds(self._context.max_lease_seconds)
+            )
         self._tasks[report.worker] = self._context.spawn(self._renew(session))
         logger.info(
             "worker found",
             extra={
+                "provisional": session.is_provisional,
                 "worker": report.worker,
                 "born": report.born,
                 "pool": report.pool,
@@ -158,10 +174,17 @@
     ) -> None:
         report = session.report
         if lists.born is not None and lists.born != report.born:
-            # The new incarnation sends its own report.
-            why = "a later life answers"
-            self.drop_session(session, why)
-            self._end_committer.end_lost_runs(report.worker, why, lists.born)
+            if lists.born < report.born:
+                return
+            # Its own report follows. Until then it gets no starts.
+            self.drop_session(session, "a later life answers")
+            self._open_session(
+                WorkerSession(
+                    msgspec.structs.replace(report, born=lists.born),
+                    self._context.began_at,
+                    is_provisional=True,
+                )
+            )
             return
         ends = []
         for row in lists.ended:
@@ -206,7 +229,8 @@
             if run.incarnation.born != session.report.born:
                 continue
             if run.phase is Phase.INHERITED:
-                if self._context.is_wanted(run):
+                # The stop also bars a start order that arrives late.
+                if self._context.is_wanted(run) and not run.is_displaced:
                     run.has_unanswered_start = True
                     self._context.spawn(self._run_orders.start(run))
                 else:
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -57,6 +57,8 @@
             whole duration: its start was acknowledged, at the first try
             and without a checkpoint.
         speed_percent: Last speed set, in percent of full speed.
+        is_displaced: Whether its worker has restarted, and the later
+            incarnation may have received its start order.
     """
 
     job: JobId
@@ -76,6 +78,7 @@
     is_slow: bool = False
     covers_whole_task: bool = False
     speed_percent: int = 100
+    is_displaced: bool = False
 
 
 class RunIndex:
--- a/galenarill/coordinator/term.py
+++ b/galenarill/coordinator/term.py
@@ -30,6 +30,7 @@
         client: Sends orders to workers.
         propose: Proposes commands, and returns a future of their commit.
         has_leader_lease: Returns whether leadership is confirmed.
+        max_lease_seconds: Longest lease that a worker accepts.
         began_at: When the term began here, on the monotonic clock.
         runs: Runs that may be in progress.
         sessions: Session with the current incarnation of each worker.
@@ -43,6 +44,7 @@
         client: WorkerClient,
         propose: Callable[..., asyncio.Future],
         has_leader_lease: Callable[[], bool],
+        max_lease_seconds: float,
     ):
         """Create a context without workers and runs."""
         self.term_number = term
@@ -50,6 +52,7 @@
         self.client = client
         self.propose = propose
         self.has_leader_lease = has_leader_lease
+        self.max_lease_seconds = max_lease_seconds
         self.began_at = monotonic_now()
         self.runs = RunIndex()
         self.sessions: dict[WorkerId, WorkerSession] = {}
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -30,7 +30,7 @@
 )
 from galenarill.workers import WorkerRegistry
 from standins.virtual_time import VirtualTimeLoop
-from standins.workers import FakeWorkers
+from standins.workers import MAX_LEASE_SECONDS, FakeWorkers
 
 COMMIT_SECONDS = 0.02
 ONE = Resources(1)
@@ -130,6 +130,7 @@
             lambda *commands: self.propose(term, *commands),
             lambda: self.term == term,
             120.0,
+            MAX_LEASE_SECONDS,
             self.advice,
         )
         self.leader.start()
--- a/galenarill/coordinator/tests/test_worker_restarts.py
+++ b/galenarill/coordinator/tests/test_worker_restarts.py
@@ -1,5 +1,8 @@
 """Tests of workers that restart while starts of runs are being committed."""
 
+import msgspec
+
+from galenarill.coordinator.tests.simulation import Simulation
 from galenarill.coordinator.tests.test_leader_machine import LeaderMachine
 
 
@@ -29,3 +32,57 @@
     machine.wait(seconds=0.3)
     machine.cancel(number=1)
     machine.teardown()
+
+
+def test_an_incarnation_known_only_by_its_lists_gets_no_starts():
+    """Its pool, labels and capacity are known only from its own report."""
+    simulation = Simulation(workers=1)
+    simulation.advance(1.0)
+    report = simulation.call(simulation.network.add, "w0")
+    simulation.advance(1.5)
+    simulation.submit("j1", 1)
+    simulation.advance(1.0)
+    assert not simulation.network.orders
+    simulation.call(simulation.report, report)
+    simulation.advance(2.5)
+    assert simulation.all_completed()
+    simulation.close()
+
+
+def test_a_report_of_an_earlier_incarnation_replaces_no_later_one():
+    """A heartbeat may arrive after the lists of the next incarnation."""
+    simulation = Simulation(workers=1)
+    simulation.advance(1.0)
+    earlier = simulation.network.workers["w0:1"].report
+    later = simulation.call(simulation.network.add, "w0")
+    simulation.advance(1.5)
+    delayed = msgspec.structs.replace(earlier, sequence=2)
+    simulation.call(simulation.report, delayed)
+    assert simulation.leader.incarnation_of("w0") == ("w0", later.born)
+    simulation.close()
+
+
+def test_a_start_received_by_the_next_incarnation_is_not_repeated_elsewhere():
+    """The stray start's lease may last as long as the worker accepts."""
+    simulation = Simulation(
+        workers=2, seconds_of=lambda task, run: (20.0, "done")
+    )
+    simulation.advance(100.0)
+    simulation.submit("j1", 2)
+    simulation.call(simulation.network.add, "w0")
+    simulation.call(simulation.network.add, "w1")
+    simulation.advance(1.6)
+    assert simulation.network.history
+    # Both are silent once their lists have shown the later incarnation.
+    simulation.network.cut.update(("w0:1", "w1:1"))
+    simulation.call(
+        simulation.report, simulation.call(simulation.network.add, "w2")
+    )
+    simulation.advance(12.0)
+    simulation.network.cut.clear()
+    for worker in list(simulation.network.workers.values()):
+        simulation.call(simulation.report, worker.report)
+    simulation.advance(60.0)
+    simulation.check()
+    assert simulation.all_completed()
+    simulation.close()
--- a/galenarill/workers/session.py
+++ b/galenarill/workers/session.py
@@ -2,7 +2,12 @@
 
 from galenarill.workers.report import WorkerReport
 
-__all__ = ["WorkerSession", "LEASE_SECONDS", "MAX_CLOCK_DRIFT"]
+__all__ = [
+    "WorkerSession",
+    "worst_case_seconds",
+    "LEASE_SECONDS",
+    "MAX_CLOCK_DRIFT",
+]
 
 # How long a worker continues its runs without a renewal, in seconds; longer
 # than a leader election.
@@ -26,24 +31,34 @@
         is_synced: Whether the lists of its runs are known; reset when its lease
             expires.
         answered_at: Time of the last answer, on the monotonic clock.
+        is_provisional: Whether this incarnation is known only by its run
+            lists, so that the rest of `report` describes an earlier one.
     """
 
-    def __init__(self, report: WorkerReport, elected_at: float):
+    def __init__(
+        self,
+        report: WorkerReport,
+        elected_at: float,
+        is_provisional: bool = False,
+    ):
         """Initialize the state of a worker that has not answered yet.
 
         Args:
             report: Latest report of the worker.
             elected_at: Time of this leader's election on its monotonic
                 clock.
+            is_provisional: Whether only `report.born` describes this
+                incarnation.
         """
         self.report = report
         self.acknowledged_end = 0
         self.is_synced = False
+        self.is_provisional = is_provisional
         self.answered_at = float("-inf")
         self._clock_reading: tuple[float, float] | None = None
         self._granted_until_ms = float("-inf")
         # An earlier leader may have renewed the lease until this election.
-        self._inherited_expiry = elected_at + _worst_case_seconds(LEASE_SECONDS)
+        self._inherited_expiry = elected_at + worst_case_seconds(LEASE_SECONDS)
 
     def record_clock(self, clock_ms: float, now: float) -> None:
         """Record a reading of the worker's clock that arrived at `now`."""
@@ -63,6 +78,14 @@
         self._granted_until_ms = max(self._granted_until_ms, until_ms)
         return until_ms
 
+    def assume_lease_until(self, latest: float) -> None:
+        """Assume a lease that this leader did not grant knowingly.
+
+        Args:
+            latest: Its latest possible end, on our own clock.
+        """
+        self._inherited_expiry = max(self._inherited_expiry, latest)
+
     def expires_at(self) -> float:
         """Return when all granted leases have expired, on our own clock."""
         if self._clock_reading is None:
@@ -70,10 +93,10 @@
         clock_ms, read_at = self._clock_reading
         remaining = max(0.0, self._granted_until_ms - clock_ms) / 1000
         return max(
-            self._inherited_expiry, read_at + _worst_case_seconds(remaining)
+            self._inherited_expiry, read_at + worst_case_seconds(remaining)
         )
 
 
-def _worst_case_seconds(seconds: float) -> float:
+def worst_case_seconds(seconds: float) -> float:
     """Return the longest time that `seconds` on a worker's clock may take."""
     return seconds / (1 - MAX_CLOCK_DRIFT) + LEASE_MARGIN_SECONDS
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -16,7 +16,7 @@
     WorkerReport,
 )
 
-__all__ = ["FakeWorker", "FakeWorkers", "RunRecord"]
+__all__ = ["FakeWorker", "FakeWorkers", "RunRecord", "MAX_LEASE_SECONDS"]
 
 MAX_LEASE_SECONDS = 6.0
 STOP_SECONDS = 0.3
