Place waiting tasks by job and let a round cost by what it places

Cause: on the large site the leader's one thread binds. Each placement round ranked every waiting task, asked every worker of the fleet for its free capacity and scanned all workers for each task; rounds followed each report and each renewal, changed or not; loads of pools and housekeeping walked over all jobs that were ever accepted, up to ten times a second. Change: ready tasks are kept as groups (one step of one job), ranked as such and expanded only where a worker has capacity; a packer keeps the workers of each shape of task in a heap, which chooses as the scan did (property test). A round without waiting tasks ends at once; reports and renewals ask for one only when something changed.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -10,15 +10,18 @@
     Step,
     TaskKey,
     encode_commands,
+    make_job,
 )
 from galenarill.placement import (
     AvailableWorker,
     Candidate,
-    order_by_fair_share,
-    place_tasks,
+    Packer,
+    TenantUsage,
+    make_group,
+    place_groups,
 )
 from galenarill.pools import PoolLoad, PoolMachine, plan_moves
-from galenarill.routing import Resources
+from galenarill.routing import Queue, Resources
 from galenarill.workers import WorkerReport
 
 REPEATS = 5
@@ -71,16 +74,21 @@
         ]
         for pool in range(min(8, workers))
     }
-    step = Step(1, TASK_RESOURCES)
-    candidates = [
-        Candidate("j", TaskKey(0, 0, n), step, f"p{n % 8}", f"t{n % 86}")
-        for n in range(tasks)
-    ]
-    entries = [(c.tenant, TASK_RESOURCES, c) for c in candidates]
-    place_tasks(
-        order_by_fair_share(entries, {}, {}, Resources(10**6, 10**6)),
-        available,
-        {},
+    spec = JobSpec("x", (Step(1, TASK_RESOURCES),))
+    groups = []
+    for number in range(tasks):
+        pool = f"p{number % 8}"
+        queue = Queue("q", "h", "/q/", pool, 0, 3, 1.6, 600, True)
+        job = make_job(f"j{number}", "q", f"t{number % 86}", spec, 0.0)
+        groups.append(make_group(job, queue, [TaskKey(0, 0, 0)]))
+    place_groups(
+        groups,
+        Packer(available, {}),
+        TenantUsage({}, {}, Resources(10**6, 10**6)),
+        0.0,
+        lambda group, key: Candidate(
+            group.job, key, group.step, group.pool, group.tenant
+        ),
     )
 
 
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -46,7 +46,7 @@
 _TENANT_CPU = meter().create_gauge("galenarill_tenant_running_cpu")
 
 TICK_SECONDS = 0.1
-GAUGE_SECONDS = 1.0
+HOUSEKEEPING_SECONDS = 1.0
 # Time for which an ended job is kept beyond the configured retention, in
 # seconds.
 RETENTION_MARGIN_SECONDS = 30.0
@@ -89,6 +89,10 @@
             advice_client: Client of the policy service, or None.
         """
         self._state = state
+        # Jobs that are not done, failed or cancelled.
+        self._active_jobs: set[JobId] = set()
+        # Those that may have ready tasks because time passes.
+        self._timed_jobs: set[JobId] = set()
         self._registry = registry
         self._retention_seconds = retention_seconds + RETENTION_MARGIN_SECONDS
         self._context = TermContext(
@@ -122,14 +126,15 @@
         _IS_LEADING.set(1)
         logger.info("leading", extra={"term": self.term})
         now = monotonic_now()
-        for job in self._state.jobs:
-            self.runs.update(self._state, job, Phase.INHERITED, now)
-            self._placer.refresh_ready_tasks(job)
+        for job_id, job in self._state.jobs.items():
+            self.runs.update(self._state, job_id, Phase.INHERITED, now)
+            self._placer.refresh_ready_tasks(job_id)
+            self._index_job(job_id, job)
         for known in self._registry.workers.values():
             self.note_report(known.report)
         self._context.spawn(self._placer.run())
         self._context.spawn(self._tick_forever())
-        self._context.spawn(self._set_gauges_forever())
+        self._context.spawn(self._do_housekeeping_forever())
 
     def stop(self) -> None:
         """Stop scheduling, because another coordinator may lead."""
@@ -172,6 +177,7 @@
             for run in added:
                 self._context.spawn(self._run_orders.start(run))
             job = self._state.jobs.get(job_id)
+            self._index_job(job_id, job)
             for run in self.runs.runs_of(job_id) if job else ():
                 # The job was cancelled or has failed, or another copy of the
                 # task finished first.
@@ -186,6 +192,17 @@
         if changed_jobs:
             self._context.wake.set()
 
+    def _index_job(self, job_id: JobId, job: Job | None) -> None:
+        if job is None or job.status is not JobStatus.ACTIVE:
+            self._active_jobs.discard(job_id)
+            self._timed_jobs.discard(job_id)
+            return
+        self._active_jobs.add(job_id)
+        if job.spec.repeat_count or any(
+            step.is_speculative for step in job.spec.steps
+        ):
+            self._timed_jobs.add(job_id)
+
     def is_idle(self, worker: WorkerId) -> bool:
         """Return whether a worker has no runs and no proposed starts."""
         return not (
@@ -231,27 +248,30 @@
 
     def unplaced_count(self, pool: PoolId) -> int:
         """Return the number of ready tasks of a pool without a worker."""
-        return len(self._placer.unplaced.get(pool, ()))
+        return sum(count for _, count in self._placer.unplaced.get(pool, ()))
 
     def add_load(self, loads: dict[PoolId, PoolLoad]) -> None:
         """Add running and waiting tasks to the load of each pool."""
         routing = self._state.routing
-        for job_id, job in self._state.jobs.items():
+        for job_id in self._active_jobs.union(self.runs.jobs):
+            job = self._state.jobs[job_id]
             queue = routing.queue(job.queue)
             load = loads.get(queue.pool) if queue is not None else None
             if load is None:
                 continue
             for run in self.runs.runs_of(job_id):
                 load.running = load.running.plus(run.step.reserved)
-            if job.status is JobStatus.ACTIVE:
+            if job_id in self._active_jobs:
                 load.hard_minimum = max(load.hard_minimum, _min_workers(job))
                 load.soft_minimum = max(load.soft_minimum, load.hard_minimum)
         for pool, steps in self._placer.unplaced.items():
             if pool in loads:
                 load = loads[pool]
-                load.unplaced = len(steps)
-                for step in steps:
-                    load.waiting = load.waiting.plus(_demand_at_arrival(step))
+                for step, count in steps:
+                    load.unplaced += count
+                    load.waiting = load.waiting.plus(
+                        _demand_at_arrival(step).times(count)
+                    )
 
     def disruption_budgets(
         self, leaving: frozenset[WorkerId] = frozenset()
@@ -262,8 +282,9 @@
             leaving: Workers whose tasks already count as unavailable.
         """
         steps: dict[tuple, DisruptionBudget] = {}
-        for job_id, job in self._state.jobs.items():
-            if job.status is not JobStatus.ACTIVE:
+        for job_id in self._active_jobs:
+            job = self._state.jobs[job_id]
+            if not any(step.is_long_running for step in job.spec.steps):
                 continue
             present: dict[tuple[int, int], set] = {}
             for run in self.runs.runs_of(job_id):
@@ -298,21 +319,18 @@
             if not self._context.has_leader_lease():
                 continue
             self._end_committer.end_runs_with_expired_lease(monotonic_now())
-            for job_id, job in self._state.jobs.items():
-                if job.status is JobStatus.ACTIVE and (
-                    job.spec.repeat_count
-                    or any(step.is_speculative for step in job.spec.steps)
-                ):
-                    self._placer.refresh_ready_tasks(job_id)
-            self._forget_old_jobs()
+            for job_id in list(self._timed_jobs):
+                self._placer.refresh_ready_tasks(job_id)
             self._context.wake.set()
 
-    async def _set_gauges_forever(self) -> None:
+    async def _do_housekeeping_forever(self) -> None:
         while True:
             _VERSION.set(self._state.routing.configuration.version)
             for tenant, used in self.runs.used_by_tenant.items():
                 _TENANT_CPU.set(used.cpu, {"tenant": tenant})
-            await asyncio.sleep(GAUGE_SECONDS)
+            if self._context.has_leader_lease():
+                self._forget_old_jobs()
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
 
     def _forget_old_jobs(self) -> None:
         limit = wall_now() - self._retention_seconds
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -1,10 +1,10 @@
 """Places ready tasks on workers and proposes their starts."""
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import logging
-from collections.abc import Iterator
 
 from galenarill.common import (
     JobId,
@@ -19,7 +19,7 @@
 from galenarill.coordinator.preempting import Preemptor
 from galenarill.coordinator.progress import ProgressMonitor
 from galenarill.coordinator.runs import Phase, TrackedRun, ready_tasks
-from galenarill.coordinator.term import TermContext
+from galenarill.coordinator.term import ANSWER_SECONDS, TermContext
 from galenarill.jobs import (
     Job,
     JobStatus,
@@ -31,13 +31,15 @@
 from galenarill.placement import (
     AvailableWorker,
     Candidate,
+    Packer,
     Placement,
     Quota,
-    order_by_fair_share,
-    place_tasks,
-    task_sort_key,
+    TaskGroup,
+    TenantUsage,
+    make_group,
+    place_groups,
 )
-from galenarill.routing import Queue, Resources
+from galenarill.routing import Resources
 from galenarill.telemetry import meter
 from galenarill.workers import WorkerSession
 
@@ -83,11 +85,18 @@
         self._run_orders = run_orders
         self._progress_monitor = progress_monitor
         self._preemptor = Preemptor(context, run_orders)
-        self._ready: dict[JobId, list[TaskKey]] = {}
+        # Ready tasks without a proposed start, by job.
+        self._groups: dict[JobId, list[TaskGroup]] = {}
+        # Configuration that the groups were made for.
+        self._routing = context.state.routing
         # Proposed starts by task, until their proposal succeeds or fails.
         self._proposed: dict[tuple[JobId, TaskKey], list[_ProposedStart]] = {}
+        self._proposed_by_worker: collections.Counter[WorkerId] = (
+            collections.Counter()
+        )
         self._cordoned: set[WorkerId] = set()
-        self.unplaced: dict[PoolId, list[Step]] = {}
+        # Step and number of the tasks that found no worker, by pool.
+        self.unplaced: dict[PoolId, list[tuple[Step, int]]] = {}
 
     async def run(self) -> None:
         """Run a placement round after each change, until cancelled."""
@@ -108,24 +117,37 @@
         self._context.wake.set()
 
     def is_proposed_on(self, worker: WorkerId) -> bool:
-        """Return whether an uncommitted start is proposed for a worker."""
-        return any(
-            start.worker == worker for _, start in self._uncommitted_starts()
-        )
+        """Return whether a start is being proposed for a worker."""
+        return self._proposed_by_worker[worker] > 0
 
     def refresh_ready_tasks(self, job_id: JobId) -> None:
         """Recompute which tasks of a job are ready to start."""
         job = self._context.state.jobs.get(job_id)
-        ready = ready_tasks(job, wall_now()) if job is not None else []
-        if job is not None and job.status is JobStatus.ACTIVE:
-            ready += self._tasks_to_copy(job)
-        if ready:
-            self._ready[job_id] = ready
+        groups = self._ready_groups(job) if job is not None else []
+        if groups:
+            self._groups[job_id] = groups
         else:
-            self._ready.pop(job_id, None)
+            self._groups.pop(job_id, None)
+
+    def _ready_groups(self, job: Job) -> list[TaskGroup]:
+        queue = self._context.state.routing.queue(job.queue)
+        if queue is None or job.status is not JobStatus.ACTIVE:
+            return []
+        keys = ready_tasks(job, wall_now()) + self._tasks_to_copy(job)
+        return [
+            make_group(job, queue, members)
+            for _, group in itertools.groupby(keys, lambda key: key[:2])
+            if (
+                members := [
+                    key for key in group if (job.id, key) not in self._proposed
+                ]
+            )
+        ]
 
     def _tasks_to_copy(self, job: Job) -> list[TaskKey]:
         """Return tasks that need a speculative copy."""
+        if not any(step.is_speculative for step in job.spec.steps):
+            return []
         return [
             run.key
             for run in self._context.runs.runs_of(job.id)
@@ -144,23 +166,59 @@
         return run.is_slow and run.phase is Phase.RUNNING
 
     def _place(self) -> None:
-        candidates = self._candidates()
-        available, quotas = self._available_workers(), self._quotas()
-        placements = place_tasks(candidates, available, quotas)
-        placed = {(p.candidate.job, p.candidate.key) for p in placements}
-        unplaced = [c for c in candidates if (c.job, c.key) not in placed]
+        if self._routing is not self._context.state.routing:
+            self._routing = self._context.state.routing
+            for job_id in self._context.state.jobs:
+                self.refresh_ready_tasks(job_id)
         self.unplaced = {}
-        for candidate in unplaced:
-            steps = self.unplaced.setdefault(candidate.pool, [])
-            steps.append(candidate.step)
-        self._preemptor.preempt(unplaced, available, quotas)
+        if not self._groups:
+            return
+        groups = [group for job in self._groups.values() for group in job]
+        proposed = self._uncommitted_starts()
+        available = self._available_workers(
+            {group.pool for group in groups}, proposed
+        )
+        usage, quotas = self._tenant_usage(proposed)
+        # Number of tasks on each worker, by job, occurrence and step.
+        step_tasks_by_worker: dict[tuple, dict[WorkerId, int]] = {}
+        placements = place_groups(
+            groups,
+            Packer(available, quotas),
+            usage,
+            wall_now(),
+            lambda group, key: self._candidate(
+                group, key, step_tasks_by_worker, proposed
+            ),
+        )
+        waiting = [group for group in groups if group.keys]
+        for group in waiting:
+            self.unplaced.setdefault(group.pool, []).append(
+                (group.step, len(group.keys))
+            )
+        self._preemptor.preempt(
+            waiting,
+            lambda group, key: self._candidate(
+                group, key, step_tasks_by_worker, proposed
+            ),
+            available,
+            quotas,
+        )
         if placements:
-            commands = [
-                self._propose(placement, len(candidates))
-                for placement in placements
-            ]
-            future = self._context.propose(*commands)
-            future.add_done_callback(lambda _: self._clear_proposed(placed))
+            self._start(placements, sum(len(group.keys) for group in waiting))
+
+    def _start(self, placements: list[Placement], waiting: int) -> None:
+        commands = [
+            self._propose(placement, waiting) for placement in placements
+        ]
+        task_ids = [(p.candidate.job, p.candidate.key) for p in placements]
+        for job_id in {job_id for job_id, _ in task_ids}:
+            groups = [group for group in self._groups[job_id] if group.keys]
+            if groups:
+                self._groups[job_id] = groups
+            else:
+                del self._groups[job_id]
+        future = self._context.propose(*commands)
+        future.add_done_callback(lambda _: self._clear_proposed(task_ids))
 
     def _propose(self, placement: Placement, waiting: int) -> StartRun:
         candidate = placement.candidate
@@ -178,15 +236,15 @@
             )
             for member, incarnation in placement.members
         ]
+        workers = [incarnation.worker for _, incarnation in placement.members]
+        self._proposed_by_worker.update(workers)
         logger.info(
             "task placed",
             extra={
                 "job": candidate.job,
                 "task": list(candidate.key),
                 "run": number,
-                "workers": [
-                    incarnation.worker for _, incarnation in placement.members
-                ],
+                "workers": workers,
                 "waiting": waiting,
             },
         )
@@ -196,86 +254,71 @@
         )
         return StartRun(candidate.job, *candidate.key, number, members)
 
-    def _clear_proposed(self, task_ids: set) -> None:
-        for task_id in task_ids:
-            self._proposed.pop(task_id, None)
+    def _clear_proposed(self, task_ids: list[tuple[JobId, TaskKey]]) -> None:
+        uncommitted_jobs = set()
+        for job_id, key in task_ids:
+            for start in self._proposed.pop((job_id, key), ()):
+                self._proposed_by_worker[start.worker] -= 1
+                if start.run not in self._context.runs.by_name:
+                    uncommitted_jobs.add(job_id)
+        for job_id in uncommitted_jobs:
+            self.refresh_ready_tasks(job_id)
         self._context.wake.set()
 
     def _uncommitted_starts(
         self,
-    ) -> Iterator[tuple[tuple[JobId, TaskKey], _ProposedStart]]:
-        """Yield the proposed starts that are not in the state yet."""
-        for task_id, starts in self._proposed.items():
-            for start in starts:
-                if start.run not in self._context.runs.by_name:
-                    yield task_id, start
-
-    def _candidates(self) -> list[Candidate]:
-        """Return ready tasks, most urgent first."""
-        wall_time = wall_now()
-        ranked = []
-        for job_id, keys in self._ready.items():
-            job = self._context.state.jobs[job_id]
-            queue = self._context.state.routing.queue(job.queue)
-            if queue is None:
-                continue
-            for key in keys:
-                if (job_id, key) not in self._proposed:
-                    order = task_sort_key(job, key, queue, wall_time)
-                    ranked.append((order, job_id, key, queue))
-        ranked.sort(key=lambda entry: entry[:3])
-        # Number of tasks on each worker, by job, occurrence and step.
-        step_tasks_by_worker: dict[tuple, dict[WorkerId, int]] = {}
-        candidates: list[Candidate] = []
-        used, weights, total = self._tenant_usage()
-        for _, group in itertools.groupby(ranked, lambda entry: entry[0][:2]):
-            entries = []
-            for _, job_id, key, queue in group:
-                candidate = self._candidate(
-                    job_id, key, queue, step_tasks_by_worker
-                )
-                entries.append(
-                    (candidate.tenant, candidate.step.need, candidate)
-                )
-            for candidate in order_by_fair_share(entries, used, weights, total):
-                candidates.append(candidate)
-                _add(used, candidate.tenant, candidate.step.need)
-        return candidates
-
-    def _tenant_usage(self) -> tuple[dict, dict, Resources]:
-        """Return resources used and weight by tenant, and total capacity."""
+    ) -> list[tuple[tuple[JobId, TaskKey], _ProposedStart]]:
+        """Return the proposed starts that are not in the state yet."""
+        return [
+            (task_id, start)
+            for task_id, starts in self._proposed.items()
+            for start in starts
+            if start.run not in self._context.runs.by_name
+        ]
+
+    def _tenant_usage(
+        self, proposed: list
+    ) -> tuple[TenantUsage, dict[TeamId, Quota]]:
+        """Return the usage of tenants, and their quotas."""
         total = Resources()
         for session in self._context.sessions.values():
             total = total.plus(session.report.capacity)
-        weights = {
-            tenant.name: tenant.weight
-            for tenant in self._context.state.routing.configuration.tenants
+        used = dict(self._context.runs.used_by_tenant)
+        for _, start in proposed:
+            _add(used, start.tenant, start.step.need)
+        tenants = self._context.state.routing.configuration.tenants
+        quotas = {
+            tenant.name: Quota(
+                tenant.upper_limit, used.get(tenant.name, Resources())
+            )
+            for tenant in tenants
         }
-        return dict(self._context.runs.used_by_tenant), weights, total
+        weights = {tenant.name: tenant.weight for tenant in tenants}
+        return TenantUsage(used, weights, total), quotas
 
     def _candidate(
         self,
-        job_id: JobId,
+        group: TaskGroup,
         key: TaskKey,
-        queue: Queue,
         step_tasks_by_worker: dict,
+        proposed: list,
     ) -> Candidate:
-        job = self._context.state.jobs[job_id]
-        step = job.spec.steps[key.step]
-        step_key = (job_id, *key[:2])
+        step, job = group.step, self._context.state.jobs[group.job]
+        step_key = (group.job, *key[:2])
         if step.max_per_worker and step_key not in step_tasks_by_worker:
             step_tasks_by_worker[step_key] = self._count_step_tasks_by_worker(
-                job_id, key
+                group.job, key, proposed
             )
+        queue = self._routing.queue(job.queue)
         return Candidate(
-            job_id,
+            group.job,
             key,
             step,
-            queue.pool,
-            job.tenant,
+            group.pool,
+            group.tenant,
             self._workers_to_avoid(job, key),
             step_tasks_by_worker.get(step_key, {}),
-            self._advisor.tickets_for(job_id, key, queue.pool)
+            self._advisor.tickets_for(group.job, key, group.pool)
             if queue.advice is not None
             else None,
         )
@@ -291,7 +334,7 @@
         return frozenset(avoid)
 
     def _count_step_tasks_by_worker(
-        self, job: JobId, key: TaskKey
+        self, job: JobId, key: TaskKey, proposed: list
     ) -> dict[WorkerId, int]:
         """Return the number of tasks of a step on each worker."""
         counts: dict[WorkerId, int] = {}
@@ -299,24 +342,31 @@
             if run.key[:2] == key[:2]:
                 worker = run.incarnation.worker
                 counts[worker] = counts.get(worker, 0) + 1
-        for (other_job, other_key), start in self._uncommitted_starts():
+        for (other_job, other_key), start in proposed:
             if other_job == job and other_key[:2] == key[:2]:
                 counts[start.worker] = counts.get(start.worker, 0) + 1
         return counts
 
-    def _available_workers(self) -> dict[PoolId, list[AvailableWorker]]:
+    def _available_workers(
+        self, pools: set[PoolId], proposed: list
+    ) -> dict[PoolId, list[AvailableWorker]]:
         now = monotonic_now()
-        proposed: dict[WorkerId, Resources] = {}
-        for _, start in self._uncommitted_starts():
-            _add(proposed, start.worker, start.step.reserved)
+        reserved = self._context.runs.reserved_by_worker
+        proposed_by_worker: dict[WorkerId, Resources] = {}
+        for _, start in proposed:
+            _add(proposed_by_worker, start.worker, start.step.reserved)
         available: dict[PoolId, list[AvailableWorker]] = {}
         for worker, session in self._context.sessions.items():
-            if not self._accepts_starts(session, now):
-                continue
             report = session.report
-            free = report.capacity.minus(
-                self._context.runs.reserved_by_worker.get(worker, Resources())
-            ).minus(proposed.get(worker, Resources()))
+            if report.pool not in pools or not self._accepts_starts(
+                session, now
+            ):
+                continue
+            free = report.capacity
+            if worker in reserved:
+                free = free.minus(reserved[worker])
+            if worker in proposed_by_worker:
+                free = free.minus(proposed_by_worker[worker])
             is_suspect = self._progress_monitor.health.is_quarantined(
                 worker, now
             )
@@ -330,23 +380,12 @@
         return (
             session.is_synced
             and not session.is_provisional
-            and self._context.is_answering(session)
+            and session.answered_at > now - ANSWER_SECONDS
             and not self._context.is_draining(session)
             and report.worker not in self._cordoned
             and not self._run_orders.has_recently_refused(report.worker, now)
         )
 
-    def _quotas(self) -> dict[TeamId, Quota]:
-        used = dict(self._context.runs.used_by_tenant)
-        for _, start in self._uncommitted_starts():
-            _add(used, start.tenant, start.step.need)
-        return {
-            tenant.name: Quota(
-                tenant.upper_limit, used.get(tenant.name, Resources())
-            )
-            for tenant in self._context.state.routing.configuration.tenants
-        }
-
 
 def _add(amounts: dict, key, amount: Resources) -> None:
     amounts[key] = amounts.get(key, Resources()).plus(amount)
--- a/galenarill/coordinator/preempting.py
+++ b/galenarill/coordinator/preempting.py
@@ -1,6 +1,7 @@
 """Preempts less urgent runs when urgent tasks have waited for resources."""
 
 import logging
+from collections.abc import Callable
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId, monotonic_now
 from galenarill.coordinator.orders import RunOrders
@@ -12,8 +13,10 @@
     AvailableWorker,
     Candidate,
     Quota,
+    TaskGroup,
     choose_victims,
 )
+from galenarill.routing import Configuration
 
 __all__ = ["Preemptor"]
 
@@ -38,34 +41,47 @@
         self._run_orders = run_orders
         # Since when each task has had no worker, on the monotonic clock.
         self._unplaced_since: dict[tuple[JobId, TaskKey], float] = {}
+        # Configuration that the priorities were read from.
+        self._configuration: Configuration | None = None
+        self._least_urgent_by_pool: dict[PoolId, int] = {}
 
     def preempt(
         self,
-        unplaced: list[Candidate],
+        unplaced: list[TaskGroup],
+        make_candidate: Callable[[TaskGroup, TaskKey], Candidate],
         available: dict[PoolId, list[AvailableWorker]],
         quotas: dict[TeamId, Quota],
     ) -> None:
         """Stop the runs that urgent tasks preempt now.
 
         Args:
-            unplaced: Tasks without a worker, most urgent first.
+            unplaced: Groups of tasks without a worker.
+            make_candidate: Returns the candidate for a task of a group.
             available: Free resources of workers after all placements, by pool.
             quotas: Upper limit and usage of each tenant.
         """
         now = monotonic_now()
-        task_ids = [(candidate.job, candidate.key) for candidate in unplaced]
+        least_urgent = self._least_urgent()
+        tasks = [
+            (group, key)
+            for group in sorted(
+                unplaced, key=lambda group: (group.priority, group.accepted_at)
+            )
+            if group.priority < least_urgent.get(group.pool, 0)
+            for key in group.keys
+        ]
         self._unplaced_since = {
             task_id: self._unplaced_since.get(task_id, now)
-            for task_id in task_ids
+            for task_id in ((group.job, key) for group, key in tasks)
         }
-        least_urgent = self._least_urgent() if unplaced else {}
         waiting = [
-            (candidate, priority)
-            for candidate, task_id in zip(unplaced, task_ids, strict=True)
-            if now >= self._unplaced_since[task_id] + PREEMPTION_DELAY_SECONDS
-            and (priority := self._priority(candidate.job))
-            < least_urgent.get(candidate.pool, 0)
+            (make_candidate(group, key), group.priority)
+            for group, key in tasks
+            if now
+            >= self._unplaced_since[group.job, key] + PREEMPTION_DELAY_SECONDS
         ][:MAX_WAITING_TASKS]
+        if not waiting:
+            return
         active_runs = {
             available_worker.report.worker: self._active_runs(
                 available_worker.report.worker, now
@@ -80,10 +96,16 @@
 
     def _least_urgent(self) -> dict[PoolId, int]:
         """Return the priority of the least urgent queue of each pool."""
-        least: dict[PoolId, int] = {}
-        for queue in self._context.state.routing.configuration.queues:
-            least[queue.pool] = max(least.get(queue.pool, 0), queue.priority)
-        return least
+        configuration = self._context.state.routing.configuration
+        if self._configuration is not configuration:
+            self._configuration = configuration
+            self._least_urgent_by_pool = {}
+            for queue in configuration.queues:
+                least = self._least_urgent_by_pool.get(queue.pool, 0)
+                self._least_urgent_by_pool[queue.pool] = max(
+                    least, queue.priority
+                )
+        return self._least_urgent_by_pool
 
     def _active_runs(self, worker: WorkerId, now: float) -> list[ActiveRun]:
         return [
--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -54,9 +54,12 @@
         """Handle the latest report of a worker."""
         session = self._context.sessions.get(report.worker)
         if session is not None and session.report.born == report.born:
+            if session.is_provisional or _may_change_placement(
+                session.report, report
+            ):
+                self._context.wake.set()
             session.report = report
             session.is_provisional = False
-            self._context.wake.set()
             return
         if session is not None and session.report.born > report.born:
             return
@@ -138,6 +141,7 @@
                 await self._process_lists(session, answer.lists, sent_at)
             if is_answering != was_answering:
                 self._log_reachability(session, answer)
+                self._context.wake.set()
             if not is_answering:
                 await asyncio.sleep(RETRY_SECONDS)
 
@@ -206,9 +210,10 @@
                 self._adopt_inherited(run)
         listed = {(row.task, row.run) for row in lists.running + lists.ended}
         self._handle_unlisted_runs(session, listed, sent_at)
-        session.is_synced = True
+        if not session.is_synced:
+            session.is_synced = True
+            self._context.wake.set()
         self._best_effort_throttle.adjust_speeds(session)
-        self._context.wake.set()
         await asyncio.gather(*ends)
         if lists.ended:
             last = max(row.number for row in lists.ended)
@@ -249,3 +254,13 @@
         if run is None or self._context.session_of(run) is not session:
             return None
         return run
+
+
+def _may_change_placement(before: WorkerReport, after: WorkerReport) -> bool:
+    """Return whether a report can make another placement possible."""
+    return (
+        after.pool != before.pool
+        or after.capacity != before.capacity
+        or after.labels != before.labels
+        or after.is_draining != before.is_draining
+    )
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -92,6 +92,11 @@
         self.reserved_by_worker: dict[WorkerId, Resources] = {}
         self.used_by_tenant: dict[TeamId, Resources] = {}
 
+    @property
+    def jobs(self) -> list[JobId]:
+        """Jobs with runs."""
+        return list(self._by_job)
+
     def runs_of(self, job: JobId) -> list[TrackedRun]:
         """Return the runs of a job."""
         return list(self._by_job.get(job, {}).values())
@@ -115,7 +120,7 @@
             The new runs.
         """
         job = state.jobs.get(job_id)
-        known = self._by_job.get(job_id, {})
+        known = self._by_job.setdefault(job_id, {})
         current = _run_members(job) if job is not None else {}
         added = []
         for member_id, run in list(known.items()):
@@ -138,10 +143,10 @@
                     now,
                     ordered_at=now,
                 )
-                self._by_job.setdefault(job_id, {})[member_id] = run
+                known[member_id] = run
                 self._add(run)
                 added.append(run)
-        if not self._by_job.get(job_id):
+        if not known:
             self._by_job.pop(job_id, None)
         return added
 
--- a/galenarill/placement/order.py
+++ b/galenarill/placement/order.py
@@ -1,15 +1,14 @@
-"""The order in which ready tasks are placed."""
+"""Durations and objectives of jobs, which decide on the order of tasks."""
 
 from collections.abc import Callable
 
-from galenarill.jobs import Job, Step, TaskKey
+from galenarill.jobs import Job, Step
 from galenarill.routing import Queue
 
 __all__ = [
     "estimated_seconds",
     "critical_path_seconds",
     "objective_at",
-    "task_sort_key",
 ]
 
 # Duration assumed for a task without an estimate, in seconds: the middle of
@@ -56,21 +55,3 @@
     begin = job.spec.due_at(occurrence) or job.accepted_at
     critical_path = critical_path_seconds(job.spec.steps)
     return begin + queue.stretch * critical_path + queue.objective_ms / 1000
-
-
-def task_sort_key(job: Job, key: TaskKey, queue: Queue, wall: float) -> tuple:
-    """Return the sort key of a task; the task with the smallest key is first.
-
-    Within a queue priority, long-running tasks come first, then jobs that can
-    still meet their objective by earliest objective, then all others by age.
-    """
-    step = job.spec.steps[key.step]
-    if step.is_long_running:
-        return (queue.priority, 0, job.accepted_at, key)
-    objective = objective_at(job, key.occurrence, queue)
-    remaining_seconds = critical_path_seconds(
-        job.spec.steps, lambda index: job.is_step_done(key.occurrence, index)
-    )
-    if wall + remaining_seconds <= objective:
-        return (queue.priority, 1, objective, key)
-    return (queue.priority, 2, job.accepted_at, key)
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -1,6 +1,7 @@
 """Bin packing of ready tasks onto workers."""
 
 import dataclasses
+import heapq
 from collections.abc import Iterable
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
@@ -13,6 +14,9 @@
     "AvailableWorker",
     "Quota",
     "Placement",
+    "Packer",
+    "Shape",
+    "shape_of",
     "place_tasks",
     "is_eligible",
 ]
@@ -99,6 +103,137 @@
     members: tuple[tuple[int, Incarnation], ...]
 
 
+# What decides on which workers a task fits: pool, reserved capacity, label and
+# rack of the data.
+Shape = tuple[PoolId, Resources, str, str]
+
+
+def shape_of(pool: PoolId, step: Step) -> Shape:
+    """Return the shape of the tasks of a step."""
+    return (pool, step.reserved, step.label, step.data_rack)
+
+
+class Packer:
+    """Assigns tasks to workers one at a time, by best fit.
+
+    The cost of an assignment grows with the logarithm of the number of
+    workers, except for gangs and for tasks that other criteria keep from the
+    preferred worker.
+    """
+
+    def __init__(
+        self,
+        available: dict[PoolId, list[AvailableWorker]],
+        quotas: dict[TeamId, Quota],
+    ):
+        """Create a packer; placing updates `available` and `quotas`.
+
+        Args:
+            available: Workers by pool.
+            quotas: Quotas by tenant. A tenant without an entry has no limit.
+        """
+        self._available = {
+            pool: _prefer_healthy(members)
+            for pool, members in available.items()
+        }
+        self._quotas = quotas
+        # Workers on which a shape fits, the preferred one first. An entry is
+        # stale if the worker's free CPU has changed since.
+        self._heaps: dict[Shape, list[tuple]] = {}
+        self._shapes_by_pool: dict[PoolId, list[Shape]] = {}
+
+    def is_exhausted(self, shape: Shape) -> bool:
+        """Return whether no worker has capacity for another task of a shape."""
+        return not self._preferred(shape)
+
+    def allows(self, tenant: TeamId, need: Resources) -> bool:
+        """Return whether a tenant's quota allows `need`."""
+        quota = self._quotas.get(tenant)
+        return quota is None or quota.allows(need)
+
+    def place(self, candidate: Candidate) -> Placement | None:
+        """Assign a task or gang, or return None if it can't be placed."""
+        step = candidate.step
+        shape = shape_of(candidate.pool, step)
+        count = step.count if candidate.key.index == GANG else 1
+        need = step.need.times(count)
+        if self.is_exhausted(shape) or not self.allows(candidate.tenant, need):
+            return None
+        preferred = self._heaps[shape][0][-1]
+        if (
+            count == 1
+            and candidate.tickets is None
+            and preferred.report.worker not in candidate.avoided
+            and _within_spread_limit(candidate, preferred, 0)
+        ):
+            workers = [preferred]
+        else:
+            workers = _assign_workers(
+                candidate, count, self._available.get(candidate.pool, [])
+            )
+        if workers is None:
+            return None
+        quota = self._quotas.get(candidate.tenant)
+        if quota is not None:
+            quota.used = quota.used.plus(need)
+        members = []
+        for member, available_worker in enumerate(workers):
+            self._reserve(candidate.pool, available_worker, step.reserved)
+            report = available_worker.report
+            worker = report.worker
+            candidate.siblings[worker] = candidate.siblings.get(worker, 0) + 1
+            members.append((member, Incarnation(worker, report.born)))
+        return Placement(candidate, tuple(members))
+
+    def _preferred(self, shape: Shape) -> list[tuple]:
+        """Return the heap of a shape, whose first entry is valid."""
+        heap = self._heaps.get(shape)
+        if heap is None:
+            pool = shape[0]
+            heap = [
+                entry
+                for available_worker in self._available.get(pool, [])
+                if (entry := _heap_entry(shape, available_worker)) is not None
+            ]
+            heapq.heapify(heap)
+            self._heaps[shape] = heap
+            self._shapes_by_pool.setdefault(pool, []).append(shape)
+        reserved = shape[1]
+        while heap:
+            _, cpu, _, available_worker = heap[0]
+            free = available_worker.free
+            if cpu == free.cpu and reserved.fits(free):
+                break
+            heapq.heappop(heap)
+        return heap
+
+    def _reserve(
+        self, pool: PoolId, available_worker: AvailableWorker, need: Resources
+    ) -> None:
+        available_worker.free = available_worker.free.minus(need)
+        if not need.cpu:
+            return
+        for shape in self._shapes_by_pool.get(pool, []):
+            entry = _heap_entry(shape, available_worker)
+            if entry is not None:
+                heapq.heappush(self._heaps[shape], entry)
+
+
+def _heap_entry(
+    shape: Shape, available_worker: AvailableWorker
+) -> tuple | None:
+    """Return a worker's entry in the heap of a shape, or None if none fits.
+
+    Prefers the rack that holds the task's data, then the least free CPU.
+    """
+    _, reserved, label, rack = shape
+    report, free = available_worker.report, available_worker.free
+    if not reserved.fits(free) or (label and label not in report.labels):
+        return None
+    off_rack = bool(rack) and rack not in report.labels
+    return (off_rack, free.cpu, report.worker, available_worker)
+
+
 def place_tasks(
     candidates: Iterable[Candidate],
     available: dict[PoolId, list[AvailableWorker]],
@@ -107,7 +242,7 @@
     """Assign tasks to workers, in the given order.
 
     Updates the free capacity of `available` and the usage in `quotas`. A task
-    that does not fit is skipped, and so are later tasks of the same shape.
+    that does not fit is skipped.
 
     Args:
         candidates: Ready tasks, the most urgent first.
@@ -117,45 +252,9 @@
     Returns:
         Placements of the tasks that fit.
     """
-    available = {
-        pool: _prefer_healthy(members) for pool, members in available.items()
-    }
-    placements = []
-    # Shapes that fit nowhere. No capacity is released during one call, so a
-    # shape that was rejected once stays rejected.
-    unplaceable_shapes: set[tuple] = set()
-    for candidate in candidates:
-        step = candidate.step
-        shape = (candidate.pool, step.reserved, step.label, step.data_rack)
-        if shape in unplaceable_shapes:
-            continue
-        count = step.count if candidate.key.index == GANG else 1
-        quota = quotas.get(candidate.tenant)
-        need = step.need.times(count)
-        if quota is not None and not quota.allows(need):
-            continue
-        workers = _assign_workers(
-            candidate, count, available.get(candidate.pool, [])
-        )
-        if workers is None:
-            if (
-                not candidate.step.max_per_worker
-                and count == 1
-                and (candidate.tickets is None)
-            ):
-                unplaceable_shapes.add(shape)
-            continue
-        if quota is not None:
-            quota.used = quota.used.plus(need)
-        members = []
-        for member, available_worker in enumerate(workers):
-            report = available_worker.report
-            available_worker.free = available_worker.free.minus(step.reserved)
-            worker = report.worker
-            candidate.siblings[worker] = candidate.siblings.get(worker, 0) + 1
-            members.append((member, Incarnation(worker, report.born)))
-        placements.append(Placement(candidate, tuple(members)))
-    return placements
+    packer = Packer(available, quotas)
+    placements = (packer.place(candidate) for candidate in candidates)
+    return [placement for placement in placements if placement is not None]
 
 
 def is_eligible(
--- a/galenarill/placement/shares.py
+++ b/galenarill/placement/shares.py
@@ -1,71 +1,46 @@
-"""Weighted fair sharing of scarce capacity between tenants."""
+"""Usage of scarce capacity by tenants, as the basis of fair shares."""
 
-import heapq
-from collections.abc import Iterable
+import dataclasses
 
 from galenarill.common import TeamId
 from galenarill.routing import Resources
 
-__all__ = ["order_by_fair_share"]
+__all__ = ["TenantUsage"]
 
 
-def order_by_fair_share(
-    entries: Iterable[tuple[TeamId, Resources, object]],
-    used: dict[TeamId, Resources],
-    weights: dict[TeamId, float],
-    total: Resources,
-) -> list:
-    """Order tasks by weighted dominant resource fairness.
+@dataclasses.dataclass(slots=True)
+class TenantUsage:
+    """Resources in use by tenant.
 
-    The next task is always the first remaining one of the tenant with the
-    smallest ratio of dominant share to weight. The order does not matter while
-    there is capacity for all tasks.
-
-    Args:
-        entries: Tenant, need and task, the most urgent first.
-        used: Resources of each tenant's current runs.
+    Attributes:
+        used: Resources of the current runs of each tenant.
         weights: Weight of each tenant; 1 for a tenant without an entry.
         total: Capacity of all workers.
-
-    Returns:
-        The tasks in fair order.
-
-    Example:
-        >>> one = Resources(1)
-        >>> entries = [("a", one, "a1"), ("a", one, "a2"), ("b", one, "b1")]
-        >>> order_by_fair_share(entries, {}, {"a": 1, "b": 1}, Resources(4))
-        ['a1', 'b1', 'a2']
-
-    References:
-        Ghodsi et al. Dominant Resource Fairness. NSDI 2011.
     """
-    queues: dict[TeamId, list] = {}
-    for position, (tenant, need, task) in enumerate(entries):
-        queues.setdefault(tenant, []).append((position, need, task))
-    for queue in queues.values():
-        queue.reverse()
-    allocated = {tenant: used.get(tenant, Resources()) for tenant in queues}
-
-    def weighted_share(tenant: TeamId) -> float:
-        return _dominant_share(allocated[tenant], total) / weights.get(
-            tenant, 1.0
-        )
 
-    heap = [
-        (weighted_share(tenant), q[-1][0], tenant)
-        for tenant, q in queues.items()
-    ]
-    heapq.heapify(heap)
-    ordered = []
-    while heap:
-        _, _, tenant = heapq.heappop(heap)
-        _, need, task = queues[tenant].pop()
-        ordered.append(task)
-        allocated[tenant] = allocated[tenant].plus(need)
-        if queues[tenant]:
-            following = queues[tenant][-1][0]
-            heapq.heappush(heap, (weighted_share(tenant), following, tenant))
-    return ordered
+    used: dict[TeamId, Resources]
+    weights: dict[TeamId, float]
+    total: Resources
+
+    def weighted_share(self, tenant: TeamId) -> float:
+        """Return the dominant share of a tenant in relation to its weight.
+
+        Example:
+            >>> usage = TenantUsage({"a": Resources(2)}, {"a": 2}, Resources(4))
+            >>> usage.weighted_share("a"), usage.weighted_share("b")
+            (0.25, 0.0)
+
+        References:
+            Ghodsi et al. Dominant Resource Fairness. NSDI 2011.
+        """
+        used = self.used.get(tenant)
+        if used is None:
+            return 0.0
+        return _dominant_share(used, self.total) / self.weights.get(tenant, 1.0)
+
+    def add(self, tenant: TeamId, amount: Resources) -> None:
+        """Add resources to the usage of a tenant."""
+        self.used[tenant] = self.used.get(tenant, Resources()).plus(amount)
 
 
 def _dominant_share(used: Resources, total: Resources) -> float:
