Send less presence between coordinators and gateways

Cause: every coordinator told every gateway of its presence each 0.3 s, and each gateway told it back: 97 gateways and 5 coordinators make 670 frames a second at each coordinator, each encoded anew for each peer. Change: gateways keep their links alive each 0.7 s, a coordinator that doesn't lead tells gateways each 0.7 s, the leader and coordinators among each other each 0.35 s; changes are told at once, as before. A message that is broadcast is encoded once.

--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -1,6 +1,7 @@
 """A coordinator node: its components and their wiring."""
 
 import asyncio
+import itertools
 import logging
 import pathlib
 
@@ -52,9 +53,14 @@
 # Minimum election timeout, in seconds. Many times a sync of the slowest disk
 # and a round trip between availability zones.
 ELECTION_TIMEOUT_SECONDS = 0.6
-PRESENCE_SECONDS = 0.3
-# Silence after which a link counts as half-open, in seconds. Five times the
-# period of `Presence` messages.
+# Period of `Presence` messages, in seconds. Gateways wait 1 s for the next one
+# of a leader.
+PRESENCE_SECONDS = 0.35
+# Every how many periods a coordinator that doesn't lead tells gateways. They
+# need it only to keep links alive; each change is told at once.
+STANDBY_PRESENCE_PERIODS = 2
+# Silence after which a link counts as half-open, in seconds. Twice the longest
+# interval of `Presence` messages.
 LINK_IDLE_TIMEOUT_SECONDS = 1.5
 
 
@@ -298,8 +304,13 @@
         )
 
     async def _broadcast_presence_forever(self) -> None:
-        while True:
-            self._broadcast_presence()
+        for period in itertools.count():
+            presence = self._presence()
+            if presence.leads or period % STANDBY_PRESENCE_PERIODS == 0:
+                self._broadcast_presence()
+            else:
+                for peer in self._coordinators:
+                    self._mesh.send(peer, presence)
             await asyncio.sleep(PRESENCE_SECONDS)
 
     def _broadcast_presence(self) -> None:
--- a/galenarill/gateway/node.py
+++ b/galenarill/gateway/node.py
@@ -23,9 +23,10 @@
 _READY = meter().create_gauge("galenarill_ready")
 _LATENCY = meter().create_histogram("galenarill_request_seconds", unit="s")
 
-PRESENCE_INTERVAL_SECONDS = 0.3
-# Time without messages after which a link is treated as half-open: five times
-# the interval of `Presence`.
+# A `Presence` of a gateway only keeps its links alive.
+PRESENCE_INTERVAL_SECONDS = 0.7
+# Time without messages after which a link is treated as half-open: twice the
+# longest interval of `Presence`.
 LINK_IDLE_TIMEOUT_SECONDS = 1.5
 
 
--- a/galenarill/links/mesh.py
+++ b/galenarill/links/mesh.py
@@ -114,6 +114,9 @@
         self._tasks: list[asyncio.Task] = []
         self._server = None
         self._counters = LinkCounters()
+        # Last message that was sent alone, and its frame. A broadcast sends
+        # the same message to every peer.
+        self._last_frame: tuple[msgspec.Struct | None, bytes] = (None, b"")
 
     @property
     def counters(self) -> LinkCounters:
@@ -283,11 +286,20 @@
         batch = list(link.queue)
         link.queue.clear()
         link.has_messages.clear()
-        data = encode_batch(batch)
+        data = self._encode(batch)
         self._counters.sent_bytes += len(data)
         self._counters.sent_messages += len(batch)
         await link.socket.send(data)
 
+    def _encode(self, batch: list[msgspec.Struct]) -> bytes:
+        if len(batch) > 1:
+            return encode_batch(batch)
+        message, data = self._last_frame
+        if batch[0] is not message:
+            data = encode_batch(batch)
+            self._last_frame = (batch[0], data)
+        return data
+
     def _reset_link(self, peer: VmId, link: _Link) -> None:
         if self._links.get(peer) is link:
             del self._links[peer]
