Divide the fleet among pools, and size them by what arrives

Cause: at a turn of one queue its pool needs up to 200 of 276 machines within 2 s. A pool's need was what runs and waits, so it rose with the backlog; pools whose turn was over kept machines for 1.2 s more and gave only machines that had been idle for 0.4 s, while best fit spread the last tasks over all of them; late work counted like work in time; and a lasting task that found no worker for 0.25 s (as many of its step on each as it allows) counted as a surge of 94 machines. Change: a pool's need is also what keeps up with the work that arrived within 0.8 s; late work gets what is left over; needs above the fleet are divided max-min fair; a pool below its share gets idle machines of others at once, and busy ones above the share of their pool are cordoned until idle; lasting tasks cause no surge.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -24,7 +24,7 @@
 )
 from galenarill.maintenance_waves import DisruptionBudget
 from galenarill.placement import estimated_seconds
-from galenarill.pools import PoolLoad
+from galenarill.pools import ARRIVAL_SECONDS, ArrivalRate, PoolLoad
 from galenarill.routing import Resources
 from galenarill.telemetry import meter
 from galenarill.workers import (
@@ -91,7 +91,9 @@
         self._state = state
         # Jobs that are not done, failed or cancelled.
         self._active_jobs: set[JobId] = set()
-        # Those that may have ready tasks because time passes.
+        # Work of the jobs that arrived lately, by pool.
+        self._arrivals = ArrivalRate()
+        # Active jobs that may have ready tasks because time passes.
         self._timed_jobs: set[JobId] = set()
         self._registry = registry
         self._retention_seconds = retention_seconds + RETENTION_MARGIN_SECONDS
@@ -197,12 +199,28 @@
             self._active_jobs.discard(job_id)
             self._timed_jobs.discard(job_id)
             return
-        self._active_jobs.add(job_id)
+        if job_id not in self._active_jobs:
+            self._active_jobs.add(job_id)
+            self._note_arrival(job)
         if job.spec.repeat_count or any(
             step.is_speculative for step in job.spec.steps
         ):
             self._timed_jobs.add(job_id)
 
+    def _note_arrival(self, job: Job) -> None:
+        queue = self._state.routing.queue(job.queue)
+        age = wall_now() - job.accepted_at
+        if queue is None or job.spec.repeat_count or age > ARRIVAL_SECONDS:
+            return
+        for step in job.spec.steps:
+            if not step.is_long_running:
+                self._arrivals.add(
+                    queue.pool,
+                    step.reserved.times(step.count),
+                    estimated_seconds(step),
+                    monotonic_now(),
+                )
+
     def is_idle(self, worker: WorkerId) -> bool:
         """Return whether a worker has no runs and no proposed starts."""
         return not (
@@ -248,7 +266,9 @@
 
     def unplaced_count(self, pool: PoolId) -> int:
         """Return the number of ready tasks of a pool without a worker."""
-        return sum(count for _, count in self._placer.unplaced.get(pool, ()))
+        return sum(
+            waiting.count for waiting in self._placer.unplaced.get(pool, ())
+        )
 
     def add_load(self, loads: dict[PoolId, PoolLoad]) -> None:
         """Add running and waiting tasks to the load of each pool."""
@@ -261,17 +281,29 @@
                 continue
             for run in self.runs.runs_of(job_id):
                 load.running = load.running.plus(run.step.reserved)
+                if run.step.is_long_running:
+                    load.lasting = load.lasting.plus(run.step.reserved)
             if job_id in self._active_jobs:
                 load.hard_minimum = max(load.hard_minimum, _min_workers(job))
                 load.soft_minimum = max(load.soft_minimum, load.hard_minimum)
         for pool, steps in self._placer.unplaced.items():
             if pool in loads:
                 load = loads[pool]
-                for step, count in steps:
-                    load.unplaced += count
-                    load.waiting = load.waiting.plus(
-                        _demand_at_arrival(step).times(count)
+                for waiting in steps:
+                    demand = _demand_at_arrival(waiting.step).times(
+                        waiting.count
                     )
+                    if waiting.is_late:
+                        load.late = load.late.plus(demand)
+                        continue
+                    load.waiting = load.waiting.plus(demand)
+                    if waiting.step.is_long_running:
+                        load.unplaced_lasting += waiting.count
+                    else:
+                        load.unplaced += waiting.count
+        now = monotonic_now()
+        for pool, load in loads.items():
+            load.arriving = self._arrivals.capacity(pool, now)
 
     def disruption_budgets(
         self, leaving: frozenset[WorkerId] = frozenset()
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -4,7 +4,7 @@
 import logging
 import math
 
-from galenarill.common import PoolId, WorkerId, monotonic_now
+from galenarill.common import MachineId, PoolId, WorkerId, monotonic_now
 from galenarill.coordinator.fleet import Fleet
 from galenarill.coordinator.leader import Leader
 from galenarill.jobs import ClusterState
@@ -28,9 +28,11 @@
 _POOL_MACHINES = meter().create_gauge("galenarill_pool_machines")
 _POOL_UNPLACED = meter().create_gauge("galenarill_pool_unplaced_tasks")
 
-# Stabilization window, in seconds: when its load drops, a pool keeps the
-# machines that it needed within this time.
-STABILIZATION_SECONDS = 1.2
+# Stabilization windows, in seconds: when its load drops, a pool keeps the
+# machines that it needed within this time from other pools, and from being
+# switched off.
+LENDING_WINDOW_SECONDS = 0.3
+RELEASE_WINDOW_SECONDS = 1.2
 POOL_LOG_SECONDS = 1.0
 # Share of the fleet that one queue needs in a surge: 11 to 18 of 30 machines.
 SURGE_SHARE = 0.34
@@ -55,6 +57,8 @@
         self._state = state
         self._fleet = fleet
         self._idle_since: dict[WorkerId, float] = {}
+        # Worker of each machine that gets no more tasks, to be moved when idle.
+        self._releasing: dict[MachineId, WorkerId] = {}
         # Kinds of machine that the platform refuses to move to a pool.
         self._refused_kinds: set[tuple[str, PoolId]] = set()
         # Since when each pool has had tasks without a worker.
@@ -74,8 +78,24 @@
             for machine in self._fleet.machines.values()
         ]
         self._log_pools(loads, members, now)
-        for move in plan_moves(loads, members, self._refused_kinds):
+        plan = plan_moves(loads, members, self._refused_kinds, self._releasing)
+        for move in plan.moves:
             self._start_move(move)
+        self._release(plan.releasing)
+
+    def _release(self, releasing: frozenset[MachineId]) -> None:
+        """Cordon the machines to release, and uncordon those no longer so."""
+        for machine_id in self._releasing.keys() - releasing:
+            worker = self._releasing.pop(machine_id)
+            if not (
+                self._fleet.is_moving(machine_id)
+                or machine_id in self._fleet.cordoned_since
+            ):
+                self._leader.uncordon(worker)
+        for machine_id in releasing - self._releasing.keys():
+            worker = self._fleet.machines[machine_id].worker
+            self._releasing[machine_id] = worker
+            self._leader.cordon(worker)
 
     def _update_idle_since(self, now: float) -> None:
         for worker in self._leader.sessions:
@@ -118,13 +138,19 @@
                 load.surge = surge
             recent = self._recently_needed.setdefault(pool, collections.deque())
             recent.append((now, needed_machines(load, capacity)))
-            while recent[0][0] < now - STABILIZATION_SECONDS:
+            while recent[0][0] < now - RELEASE_WINDOW_SECONDS:
                 recent.popleft()
-            load.recently_needed = max(needed for _, needed in recent)
+            load.peak_needed = max(needed for _, needed in recent)
+            load.recently_needed = max(
+                needed
+                for at, needed in recent
+                if at >= now - LENDING_WINDOW_SECONDS
+            )
 
     def _member(self, machine: Machine, now: float) -> PoolMachine:
         since = self._idle_since.get(machine.worker)
         session = self._leader.sessions.get(machine.worker)
+        runs = self._leader.runs.by_worker.get(machine.worker, {}).values()
         is_leaving = session is not None and session.report.is_draining
         return PoolMachine(
             machine.id,
@@ -136,6 +162,9 @@
             0.0 if since is None else now - since,
             machine.state is not MachineState.DOWN and not is_leaving,
             self._fleet.is_moving(machine.id),
+            # A start that is being proposed counts as a run.
+            max(len(runs), since is None),
+            any(run.step.is_long_running for run in runs),
         )
 
     def _log_pools(
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -69,6 +69,21 @@
     run: tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnplacedTasks:
+    """Tasks of one step that found no worker.
+
+    Attributes:
+        step: Step.
+        count: Number of tasks.
+        is_late: Whether their job can no longer meet its objective.
+    """
+
+    step: Step
+    count: int
+    is_late: bool
+
+
 class Placer:
     """Assigns ready tasks to workers and proposes their starts."""
 
@@ -95,8 +110,8 @@
             collections.Counter()
         )
         self._cordoned: set[WorkerId] = set()
-        # Step and number of the tasks that found no worker, by pool.
-        self.unplaced: dict[PoolId, list[tuple[Step, int]]] = {}
+        # Tasks that found no worker in the latest round, by pool.
+        self.unplaced: dict[PoolId, list[UnplacedTasks]] = {}
 
     async def run(self) -> None:
         """Run a placement round after each change, until cancelled."""
@@ -179,13 +194,14 @@
             {group.pool for group in groups}, proposed
         )
         usage, quotas = self._tenant_usage(proposed)
+        wall_time = wall_now()
         # Number of tasks on each worker, by job, occurrence and step.
         step_tasks_by_worker: dict[tuple, dict[WorkerId, int]] = {}
         placements = place_groups(
             groups,
             Packer(available, quotas),
             usage,
-            wall_now(),
+            wall_time,
             lambda group, key: self._candidate(
                 group, key, step_tasks_by_worker, proposed
             ),
@@ -193,7 +209,9 @@
         waiting = [group for group in groups if group.keys]
         for group in waiting:
             self.unplaced.setdefault(group.pool, []).append(
-                (group.step, len(group.keys))
+                UnplacedTasks(
+                    group.step, len(group.keys), group.is_late(wall_time)
+                )
             )
         self._preemptor.preempt(
             waiting,
--- a/galenarill/placement/backlog.py
+++ b/galenarill/placement/backlog.py
@@ -50,6 +50,12 @@
     latest_start_at: float
     keys: list[TaskKey]
 
+    def is_late(self, wall_time: float) -> bool:
+        """Return whether the job can no longer meet its objective."""
+        return (
+            not self.step.is_long_running and wall_time > self.latest_start_at
+        )
+
     def rank(self, wall_time: float) -> tuple:
         """Return the sort key of the group; the smallest is placed first.
 
@@ -59,9 +65,9 @@
         """
         if self.step.is_long_running:
             return (self.priority, 0, self.accepted_at)
-        if wall_time <= self.latest_start_at:
-            return (self.priority, 1, self.objective_at)
-        return (self.priority, 2, self.accepted_at)
+        if self.is_late(wall_time):
+            return (self.priority, 2, self.accepted_at)
+        return (self.priority, 1, self.objective_at)
 
 
 def make_group(job: Job, queue: Queue, keys: list[TaskKey]) -> TaskGroup:
--- a/galenarill/pools/plan.py
+++ b/galenarill/pools/plan.py
@@ -2,14 +2,17 @@
 
 import dataclasses
 import math
+from collections.abc import Collection
 
 from galenarill.common import MachineId, PoolId
+from galenarill.pools.division import divide_machines
 from galenarill.routing import Resources
 
 __all__ = [
     "PoolLoad",
     "PoolMachine",
     "Move",
+    "MovePlan",
     "needed_machines",
     "desired_machines",
     "plan_moves",
@@ -21,9 +24,6 @@
 # Idle time after which a machine may be switched off, in seconds. Moving it
 # away and back costs as much as keeping it for about two seconds.
 RELEASE_IDLE_SECONDS = 0.8
-# Idle time after which a machine may move to a pool with waiting work, in
-# seconds.
-LEND_IDLE_SECONDS = 0.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,28 +33,42 @@
     Attributes:
         pool: Pool.
         running: Capacity reserved by current runs.
-        waiting: Capacity needed by ready tasks without a run. Short tasks
-            count in part, because they release capacity of the pool before an
-            additional machine arrives.
+        lasting: The part of `running` that long-running tasks reserve.
+        waiting: Capacity needed by ready tasks without a run whose jobs can
+            still meet their objective. Short tasks count in part, because they
+            release capacity of the pool before an additional machine arrives.
+        late: The same for tasks of jobs that are late already. They get what
+            is left over.
+        arriving: Capacity that keeps up with the jobs that arrived lately.
         soft_minimum: Machines kept so that new work can start immediately.
             Another pool that is short of machines may borrow them.
         hard_minimum: Machines kept even while another pool is short of
             machines.
         is_spare: Whether its machines are switched off.
-        unplaced: Number of tasks that found no worker.
-        recently_needed: Maximum of the needed machines over the last seconds.
+        unplaced: Number of tasks that found no worker and whose jobs can still
+            meet their objective, without long-running ones.
+        unplaced_lasting: Number of long-running tasks that found no worker.
+        recently_needed: Maximum of the needed machines over the last moments;
+            other pools get none of these machines.
+        peak_needed: The same over a longer time; none of these machines is
+            switched off.
         surge: Machines that a queue is expected to need during its load peak,
             while tasks of the pool find no worker; 0 otherwise.
     """
 
     pool: PoolId
     running: Resources = dataclasses.field(default_factory=Resources)
+    lasting: Resources = dataclasses.field(default_factory=Resources)
     waiting: Resources = dataclasses.field(default_factory=Resources)
+    late: Resources = dataclasses.field(default_factory=Resources)
+    arriving: Resources = dataclasses.field(default_factory=Resources)
     soft_minimum: int = 0
     hard_minimum: int = 1
     is_spare: bool = False
     unplaced: int = 0
+    unplaced_lasting: int = 0
     recently_needed: int = 0
+    peak_needed: int = 0
     surge: int = 0
 
 
@@ -71,6 +85,8 @@
         idle_seconds: Time without runs in seconds; 0 while it has a run.
         is_counted: Whether it counts toward the size of the pool.
         is_arriving: Whether it is being moved to the pool.
+        run_count: Number of its runs.
+        has_lasting_run: Whether one of them is a long-running task.
     """
 
     machine: MachineId
@@ -81,6 +97,8 @@
     idle_seconds: float
     is_counted: bool = True
     is_arriving: bool = False
+    run_count: int = 0
+    has_lasting_run: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +109,21 @@
     pool: PoolId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MovePlan:
+    """What to do with machines now.
+
+    Attributes:
+        moves: Moves to order.
+        releasing: Machines that should get no more tasks, so that they can
+            move to a pool that is short of machines when their runs have
+            ended.
+    """
+
+    moves: list[Move]
+    releasing: frozenset[MachineId]
+
+
 def desired_machines(load: PoolLoad, capacity: Resources) -> int:
     """Return the desired number of machines of `capacity` in a pool.
 
@@ -99,15 +132,35 @@
         >>> desired_machines(load, Resources(16000, 64000))
         2
     """
-    return max(load.soft_minimum, needed_machines(load, capacity))
+    if load.is_spare:
+        return load.soft_minimum
+    total = load.running.plus(load.waiting).plus(load.late)
+    return max(
+        load.soft_minimum,
+        needed_machines(load, capacity),
+        _machines_for(total, capacity),
+    )
 
 
 def needed_machines(load: PoolLoad, capacity: Resources) -> int:
-    """Return how many machines of `capacity` a pool's demand requires."""
+    """Return how many machines of `capacity` a pool's demand requires.
+
+    The demand is what runs and what waits and can be in time, or what keeps up
+    with the arrivals of late: at the beginning of a load peak little waits yet,
+    and a machine that is moved only when it does arrives too late.
+
+    Example:
+        >>> load = PoolLoad("p", arriving=Resources(60_000))
+        >>> needed_machines(load, Resources(16000, 64000))
+        4
+    """
     if load.is_spare:
         return 0
-    total = load.running.plus(load.waiting)
-    return max(load.surge, _machines_for(total, capacity))
+    return max(
+        load.surge,
+        _machines_for(load.running.plus(load.waiting), capacity),
+        _machines_for(load.lasting.plus(load.arriving), capacity),
+    )
 
 
 def _machines_for(total: Resources, capacity: Resources) -> int:
@@ -126,28 +179,32 @@
 def plan_moves(
     loads: dict[PoolId, PoolLoad],
     members: list[PoolMachine],
-    refused: set[tuple[str, PoolId]] = frozenset(),
-) -> list[Move]:
+    refused: Collection[tuple[str, PoolId]] = frozenset(),
+    releasing: Collection[MachineId] = frozenset(),
+) -> MovePlan:
     """Return the moves that match the sizes of pools to their load.
 
     Pools that are short of machines first take spare machines, then idle
     machines of pools above their desired size, and last the machines that
-    other pools keep for new work. Idle machines above the desired size move to
-    the spare pool.
+    other pools keep for new work. If these are too few, busy machines of pools
+    above their share are released. Idle machines above the desired size move
+    to the spare pool.
 
     Args:
         loads: Load by pool.
         members: Machines of all pools.
         refused: Pairs of a kind of machine and a pool that does not accept it.
+        releasing: Machines that are being released.
     """
     capacity = median_capacity([m.capacity for m in members])
     if capacity is None:
-        return []
+        return MovePlan([], frozenset())
     planner = _Planner(loads, members, refused, capacity)
     planner.grow()
     planner.borrow()
+    planner.release(members, releasing)
     planner.shrink()
-    return planner.moves
+    return MovePlan(planner.moves, planner.releasing)
 
 
 class _Planner:
@@ -155,51 +212,101 @@
 
     def __init__(self, loads, members, refused, capacity: Resources):
         self.moves: list[Move] = []
+        self.releasing: frozenset[MachineId] = frozenset()
         self._loads = loads
         self._refused = refused
         self._moved: set[MachineId] = set()
         by_pool: dict[PoolId, list[PoolMachine]] = {pool: [] for pool in loads}
         for member in members:
             by_pool.setdefault(member.pool, []).append(member)
-        self._sizes, self._desired, self._needed = {}, {}, {}
+        self._sizes = {
+            pool: sum(member.is_counted for member in by_pool[pool])
+            for pool in loads
+        }
+        needs = {pool: needed_machines(loads[pool], capacity) for pool in loads}
+        total = sum(self._sizes.values())
+        self._is_overloaded = sum(needs.values()) > total
+        # Machines that each pool may claim for its need.
+        self._shares = divide_machines(needs, total)
+        self._desired = {
+            pool: desired_machines(load, capacity)
+            for pool, load in loads.items()
+        }
         # Desired size, or one machine more than present if a task fits on
         # none of the pool's machines and no machine is on its way.
         self._targets = {}
         for pool, load in loads.items():
-            size = sum(member.is_counted for member in by_pool[pool])
-            desired = desired_machines(load, capacity)
             is_arriving = any(member.is_arriving for member in by_pool[pool])
-            needs_one_more = load.unplaced and not is_arriving
-            self._sizes[pool] = size
-            self._desired[pool] = desired
-            self._needed[pool] = needed_machines(load, capacity)
+            is_short = load.unplaced or load.unplaced_lasting
+            needs_one_more = is_short and not is_arriving
             self._targets[pool] = (
-                max(desired, size + 1) if needs_one_more else desired
+                max(self._desired[pool], self._sizes[pool] + 1)
+                if needs_one_more
+                else self._desired[pool]
             )
         self._free = self._free_members(members)
 
     def grow(self) -> None:
-        """Grow pools to their desired size with spare or surplus machines."""
-        for pool in self._by_shortage(self._targets):
-            for member in self._free:
-                if self._sizes[pool] >= self._targets[pool]:
-                    break
-                source = self._loads[member.pool]
-                if (
-                    source.is_spare
-                    or self._surplus_over_desired(member.pool) > 0
-                ):
-                    self._move(member, pool)
+        """Grow pools with spare or surplus machines.
+
+        First all pools up to their share, then to their desired size.
+        """
+        for targets in (self._shares, self._targets):
+            for pool in self._by_shortage(targets):
+                for member in self._free:
+                    if self._sizes[pool] >= targets[pool]:
+                        break
+                    source = self._loads[member.pool]
+                    if (
+                        source.is_spare
+                        or self._surplus_over_desired(member.pool) > 0
+                    ):
+                        self._move(member, pool)
 
     def borrow(self) -> None:
-        """Cover the need of pools with machines that others keep idle."""
-        for pool in self._by_shortage(self._needed):
+        """Cover the share of pools with machines that others keep idle."""
+        for pool in self._by_shortage(self._shares):
             for member in self._free:
-                if self._sizes[pool] >= self._needed[pool]:
+                if self._sizes[pool] >= self._shares[pool]:
                     break
-                if self._surplus_over_needed(member.pool) > 0:
+                if self._surplus_over_share(member.pool) > 0:
                     self._move(member, pool)
 
+    def release(
+        self, members: list[PoolMachine], releasing: Collection[MachineId]
+    ) -> None:
+        """Release busy machines of pools that are above their share.
+
+        Machines whose release has begun come first, then those with the
+        fewest runs.
+        """
+        shortage = sum(
+            max(0, self._shares[pool] - self._sizes[pool])
+            for pool in self._loads
+        )
+        if not shortage:
+            return
+        candidates = sorted(
+            (
+                member
+                for member in members
+                if member.is_movable
+                and member.run_count
+                and not member.has_lasting_run
+                and member.pool in self._loads
+            ),
+            key=lambda m: (m.machine not in releasing, m.run_count, m.machine),
+        )
+        surplus = {pool: self._surplus_over_share(pool) for pool in self._loads}
+        released = set()
+        for member in candidates:
+            if len(released) >= shortage:
+                break
+            if surplus[member.pool] > 0:
+                surplus[member.pool] -= 1
+                released.add(member.machine)
+        self.releasing = frozenset(released)
+
     def shrink(self) -> None:
         """Move idle surplus machines to the spare pool."""
         spares = [pool for pool, load in self._loads.items() if load.is_spare]
@@ -208,6 +315,8 @@
                 self._loads[member.pool].is_spare
                 or member.idle_seconds < RELEASE_IDLE_SECONDS
                 or self._surplus_over_desired(member.pool) <= 0
+                or self._sizes[member.pool]
+                <= self._loads[member.pool].peak_needed
             ):
                 continue
             for spare in spares:
@@ -221,10 +330,7 @@
             for member in members
             if member.is_movable
             and member.pool in self._loads
-            and (
-                self._loads[member.pool].is_spare
-                or member.idle_seconds >= LEND_IDLE_SECONDS
-            )
+            and (self._loads[member.pool].is_spare or not member.run_count)
         ]
         free.sort(
             key=lambda m: (
@@ -245,11 +351,16 @@
         recent = self._loads[pool].recently_needed
         return self._sizes[pool] - max(self._desired[pool], recent)
 
-    def _surplus_over_needed(self, pool: PoolId) -> int:
-        """Return the surplus over the present and recent need."""
+    def _surplus_over_share(self, pool: PoolId) -> int:
+        """Return the surplus over the pool's share and its recent need.
+
+        The recent need protects machines only while the fleet has enough.
+        """
         load = self._loads[pool]
-        need = max(self._needed[pool], load.recently_needed, load.hard_minimum)
-        return self._sizes[pool] - need
+        share = max(self._shares[pool], load.hard_minimum)
+        if not self._is_overloaded:
+            share = max(share, load.recently_needed)
+        return self._sizes[pool] - share
 
     def _move(self, member: PoolMachine, pool: PoolId) -> bool:
         if (
