Search workers by free CPU, since each step has a need of its own

Change: one list of workers in order of free CPU for each pool; a task takes the first that fits, found by bisection.

--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -1,7 +1,7 @@
 """Bin packing of ready tasks onto workers."""
 
+import bisect
 import dataclasses
-import heapq
 from collections.abc import Iterable
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
@@ -116,9 +116,7 @@
 class Packer:
     """Assigns tasks to workers one at a time, by best fit.
 
-    The cost of an assignment grows with the logarithm of the number of
-    workers, except for gangs and for tasks that other criteria keep from the
-    preferred worker.
+    Looks only at workers with enough free CPU, the one with the least first.
     """
 
     def __init__(
@@ -137,14 +135,17 @@
             for pool, members in available.items()
         }
         self._quotas = quotas
-        # Workers on which a shape fits, the preferred one first. An entry is
-        # stale if the worker's free CPU has changed since.
-        self._heaps: dict[Shape, list[tuple]] = {}
-        self._shapes_by_pool: dict[PoolId, list[Shape]] = {}
+        # Free CPU, id and worker, in this order.
+        self._by_free_cpu = {
+            pool: sorted(map(_sort_entry, members))
+            for pool, members in self._available.items()
+        }
+        # Shapes that fit nowhere. No capacity is released while packing.
+        self._exhausted: set[Shape] = set()
 
     def is_exhausted(self, shape: Shape) -> bool:
         """Return whether no worker has capacity for another task of a shape."""
-        return not self._preferred(shape)
+        return self._find_preferred(shape) is None
 
     def allows(self, tenant: TeamId, need: Resources) -> bool:
         """Return whether a tenant's quota allows `need`."""
@@ -154,12 +155,13 @@
     def place(self, candidate: Candidate) -> Placement | None:
         """Assign a task or gang, or return None if it can't be placed."""
         step = candidate.step
-        shape = shape_of(candidate.pool, step)
         count = step.count if candidate.key.index == GANG else 1
         need = step.need.times(count)
-        if self.is_exhausted(shape) or not self.allows(candidate.tenant, need):
+        if not self.allows(candidate.tenant, need):
+            return None
+        preferred = self._find_preferred(shape_of(candidate.pool, step))
+        if preferred is None:
             return None
-        preferred = self._heaps[shape][0][-1]
         if (
             count == 1
             and candidate.tickets is None
@@ -169,7 +171,7 @@
             workers = [preferred]
         else:
             workers = _assign_workers(
-                candidate, count, self._available.get(candidate.pool, [])
+                candidate, count, self._available[candidate.pool]
             )
         if workers is None:
             return None
@@ -185,53 +187,50 @@
             members.append((member, Incarnation(worker, report.born)))
         return Placement(candidate, tuple(members))
 
-    def _preferred(self, shape: Shape) -> list[tuple]:
-        """Return the heap of a shape, whose first entry is valid."""
-        heap = self._heaps.get(shape)
-        if heap is None:
-            pool = shape[0]
-            heap = [
-                entry
-                for available_worker in self._available.get(pool, [])
-                if (entry := _heap_entry(shape, available_worker)) is not None
-            ]
-            heapq.heapify(heap)
-            self._heaps[shape] = heap
-            self._shapes_by_pool.setdefault(pool, []).append(shape)
-        reserved = shape[1]
-        while heap:
-            _, cpu, _, available_worker = heap[0]
-            free = available_worker.free
-            if cpu == free.cpu and reserved.fits(free):
-                break
-            heapq.heappop(heap)
-        return heap
+    def _find_preferred(self, shape: Shape) -> AvailableWorker | None:
+        """Return the preferred worker for a shape, or None if it fits nowhere.
+
+        Prefers the rack that holds the task's data, then the least free CPU.
+        """
+        if shape in self._exhausted:
+            return None
+        pool, reserved, label, rack = shape
+        entries = self._by_free_cpu.get(pool, [])
+        off_rack = None
+        for position in range(
+            bisect.bisect_left(entries, (reserved.cpu,)), len(entries)
+        ):
+            available_worker = entries[position][2]
+            labels = available_worker.report.labels
+            if not reserved.fits(available_worker.free) or (
+                label and label not in labels
+            ):
+                continue
+            if not rack or rack in labels:
+                return available_worker
+            if off_rack is None:
+                off_rack = available_worker
+        if off_rack is None:
+            self._exhausted.add(shape)
+        return off_rack
 
     def _reserve(
         self, pool: PoolId, available_worker: AvailableWorker, need: Resources
     ) -> None:
+        entries = self._by_free_cpu[pool]
+        entry = _sort_entry(available_worker)
         available_worker.free = available_worker.free.minus(need)
-        if not need.cpu:
-            return
-        for shape in self._shapes_by_pool.get(pool, []):
-            entry = _heap_entry(shape, available_worker)
-            if entry is not None:
-                heapq.heappush(self._heaps[shape], entry)
+        if need.cpu:
+            del entries[bisect.bisect_left(entries, entry[:2])]
+            bisect.insort(entries, _sort_entry(available_worker))
 
 
-def _heap_entry(
-    shape: Shape, available_worker: AvailableWorker
-) -> tuple | None:
-    """Return a worker's entry in the heap of a shape, or None if none fits.
-
-    Prefers the rack that holds the task's data, then the least free CPU.
-    """
-    _, reserved, label, rack = shape
-    report, free = available_worker.report, available_worker.free
-    if not reserved.fits(free) or (label and label not in report.labels):
-        return None
-    off_rack = bool(rack) and rack not in report.labels
-    return (off_rack, free.cpu, report.worker, available_worker)
+def _sort_entry(available_worker: AvailableWorker) -> tuple:
+    return (
+        available_worker.free.cpu,
+        available_worker.report.worker,
+        available_worker,
+    )
 
 
 def place_tasks(
