--- a/galenarill/telemetry/logs.py
+++ b/galenarill/telemetry/logs.py
@@ -4,7 +4,7 @@
 import logging.handlers
 import sys
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from galenarill.telemetry.pipe import EventRateLimiter, NonBlockingLogHandler
 
@@ -63,8 +63,8 @@
     return log_handler
 
 
-def _formatter(vm: str) -> JsonFormatter:
-    return JsonFormatter(
+def _formatter(vm: str) -> MsgspecFormatter:
+    return MsgspecFormatter(
         "%(message)s %(levelname)s %(name)s",
         rename_fields={"message": "event", "levelname": "level"},
         static_fields={"vm": vm},
