Open fewer connections to workers, and count queue lengths twice a second

Cause: same profile: some 900 connections opened in 5 s, since starts of one round on one worker went out on up to 7 connections; each question for a queue's length counted over all jobs ever accepted.

--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -1,11 +1,12 @@
 """Requests of gateways, workers and operators, served by the leader."""
 
+import collections
 import logging
 from collections.abc import Callable
 
 from galenarill.cluster import messages as msg
 from galenarill.cluster.messages import Code, Reply
-from galenarill.common import wall_now
+from galenarill.common import QueueId, monotonic_now, wall_now
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
     AcceptJob,
@@ -23,6 +24,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Age of the queue lengths that are told, in seconds.
+QUEUE_LENGTH_SECONDS = 0.5
+
 _REFUSALS = {
     Refusal.NO_CONFIGURATION: Code.NO_CONFIGURATION,
     Refusal.UNKNOWN_QUEUE: Code.UNKNOWN_QUEUE,
@@ -53,6 +57,10 @@
         self._state = state
         self._propose = propose
         self._can_serve_reads = can_serve_reads
+        self._counted_at = float("-inf")
+        self._waiting_by_queue: collections.Counter[QueueId] = (
+            collections.Counter()
+        )
 
     async def answer(self, call: int, request) -> Reply:
         """Answer one request."""
@@ -139,14 +147,22 @@
         )
         if isinstance(found, Refusal):
             return self._refuse(call, "", found)
-        name = found[0].name
-        waiting = sum(
-            job.queue == name
-            and job.status is JobStatus.ACTIVE
-            and not job.has_started
-            for job in self._state.jobs.values()
-        )
-        return Reply(call, Code.DONE, number=waiting)
+        return Reply(call, Code.DONE, number=self._waiting_jobs(found[0].name))
+
+    def _waiting_jobs(self, queue: QueueId) -> int:
+        """Return the number of a queue's jobs without a start.
+
+        They are counted anew at most each `QUEUE_LENGTH_SECONDS`.
+        """
+        now = monotonic_now()
+        if now >= self._counted_at + QUEUE_LENGTH_SECONDS:
+            self._counted_at = now
+            self._waiting_by_queue = collections.Counter(
+                job.queue
+                for job in self._state.jobs.values()
+                if job.status is JobStatus.ACTIVE and not job.has_started
+            )
+        return self._waiting_by_queue[queue]
 
     async def _configure(
         self, call: int, request: msg.ChangeConfiguration
--- a/galenarill/platform/worker_client.py
+++ b/galenarill/platform/worker_client.py
@@ -19,8 +19,9 @@
 
 # Timeout in addition to the wait that an order grants the worker.
 ORDER_TIMEOUT_SECONDS = 0.7
-# Connections per worker: one for lease renewals, the others for orders.
-MAX_CONNECTIONS = 8
+# Connections per worker: one for lease renewals, the others for orders. Opening
+# one costs the leader more than an order that waits for the previous one.
+MAX_CONNECTIONS = 4
 EXPECTED_INSTANCE_HEADER = "X-Galenarill-Expect-Instance"
 
 _VERDICT_BY_REASON = {
