Let a leader sync its own copy of the log late while others commit

Change: a leader whose followers answer in sufficient number keeps new entries in memory for up to 0.1 s and writes them with one sync; it counts itself among those that hold an entry only then. If its own copy is needed for a commit, it syncs at once, as before.

--- a/galenarill/consensus/driver.py
+++ b/galenarill/consensus/driver.py
@@ -16,6 +16,9 @@
 
 # Entries applied since the last snapshot after which a new one is taken.
 COMPACTION_THRESHOLD_ENTRIES = 1000
+# Time that a leader collects entries for a sync of its own disk while others
+# commit them without it, in seconds. The sync holds up the event loop.
+DEFERRED_SYNC_SECONDS = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -44,7 +47,8 @@
 class LogDriver:
     """Connects a replica to its journal, its peers and its state machine.
 
-    Proposals made in the same iteration of the event loop share one sync.
+    Proposals made in the same iteration of the event loop share one sync. A
+    leader writes its own copy later while a majority without it answers.
     """
 
     def __init__(
@@ -76,6 +80,9 @@
         self._loop = asyncio.get_running_loop()
         self._is_processing_scheduled = False
         self._failure: JournalError | None = None
+        # Entries in the replica's log that are not written yet.
+        self._deferred: list[Entry] = []
+        self._deferred_timer: asyncio.TimerHandle | None = None
 
     def tick(self) -> None:
         """Run the replica's timers, then process its output.
@@ -120,14 +127,17 @@
             return
         replica = self._replica
         ready = replica.take_ready()
-        try:
-            self._write_log(ready)
-        except JournalError as error:
-            # Nothing is sent or applied; the next tick raises.
-            logger.critical("journal failed", extra={"why": str(error)})
-            self._failure = error
+        is_deferred = (
+            self._journal is not None
+            and ready.may_defer_sync
+            and replica.can_commit_without_own_disk(self._clock())
+        )
+        if is_deferred:
+            self._defer(ready.entries)
+        elif self._write_log(ready):
+            replica.mark_synced(replica.log.last_index, self._clock())
+        else:
             return
-        replica.mark_synced(replica.log.last_index, self._clock())
         for peer, message in ready.messages:
             self._send(peer, message)
         if ready.restore is not None:
@@ -138,16 +148,55 @@
         if has_applied_entries:
             self._compact()
         self._on_processed(has_applied_entries)
-        if ready.needs_sync and replica.role is Role.LEADER:
+        if ready.needs_sync and not is_deferred and replica.role is Role.LEADER:
             # `mark_synced` may have committed the entries just written.
             self.schedule_processing()
 
-    def _write_log(self, ready: Ready) -> None:
-        if self._journal is None or not ready.needs_sync:
+    def _defer(self, entries: list[Entry]) -> None:
+        """Write entries later, together with others."""
+        self._deferred += entries
+        if self._deferred and self._deferred_timer is None:
+            self._deferred_timer = self._loop.call_later(
+                DEFERRED_SYNC_SECONDS, self._write_deferred
+            )
+
+    def _write_deferred(self) -> None:
+        self._deferred_timer = None
+        if not self._deferred or self._failure is not None:
             return
+        last = self._deferred[-1]
+        if self._write_log(Ready()) and (
+            # Entries of another leader may have replaced it in the log.
+            self._replica.log.term_at(last.index) == last.term
+        ):
+            self._replica.mark_synced(last.index, self._clock())
+            self.schedule_processing()
+
+    def _write_log(self, ready: Ready) -> bool:
+        """Write and sync the log, with the entries deferred before.
+
+        Returns:
+            Whether it is written. Otherwise nothing may be sent or applied any
+            more, and the next tick raises.
+        """
+        try:
+            if self._journal is not None:
+                self._write_journal(ready)
+        except JournalError as error:
+            logger.critical("journal failed", extra={"why": str(error)})
+            self._failure = error
+            return False
+        return True
+
+    def _write_journal(self, ready: Ready) -> None:
         if ready.snapshot is not None:
             self._install_snapshot(ready.snapshot)
-        else:
+            return
+        if self._deferred:
+            # A record of its own: later entries may replace some of these.
+            self._journal.append(None, self._deferred)
+            self._deferred = []
+        if ready.needs_sync:
             self._journal.append(ready.hard_state, ready.entries)
 
     def _compact(self) -> None:
@@ -169,6 +218,7 @@
             snapshot.index + 1, log.last_index - snapshot.index
         )
         self._journal.install(snapshot, self._replica.hard_state, entries)
+        self._deferred = []
 
 
 def restore_replica(
--- a/galenarill/consensus/replica.py
+++ b/galenarill/consensus/replica.py
@@ -66,9 +66,13 @@
         snapshot: Snapshot to store in place of the log, or None.
         hard_state: Hard state to store, or None.
         entries: Entries to store, replacing any at the same or later indexes.
-        messages: Messages to send once the above is synced.
-        committed: Entries to apply once the above is synced.
+        messages: Messages to send once the above is synced, or stored in
+            memory if `may_defer_sync`.
+        committed: Entries to apply then.
         restore: Snapshot to load into the state machine, or None.
+        may_defer_sync: Whether `entries` may be synced later, before any later
+            work that may not be deferred. Until then this replica does not
+            count itself among those that hold them.
     """
 
     snapshot: Snapshot | None = None
@@ -79,6 +83,7 @@
     )
     committed: list[Entry] = dataclasses.field(default_factory=list)
     restore: Snapshot | None = None
+    may_defer_sync: bool = False
 
     @property
     def needs_sync(self) -> bool:
@@ -266,6 +271,19 @@
         """
         return 0 <= self._read_index <= self._applied_index
 
+    def can_commit_without_own_disk(self, now: float) -> bool:
+        """Return whether enough other voters answer to commit entries.
+
+        The sync of this leader's own disk then delays no commit.
+        """
+        voters = self.configuration.voters
+        limit = now - 2 * self._heartbeat_seconds
+        answering = sum(
+            vm in voters and vm != self._vm and at > limit
+            for vm, at in self._acknowledgement_times().items()
+        )
+        return answering > len(voters) // 2
+
     def can_serve_reads(self, now: float) -> bool:
         """Return whether this leader can serve linearizable reads.
 
@@ -359,6 +377,11 @@
             count = self._commit_index - self._applied_index
             ready.committed = list(self._log.entries(first, count))
             self._applied_index = self._commit_index
+        ready.may_defer_sync = (
+            self._role is Role.LEADER
+            and ready.snapshot is None
+            and ready.hard_state is None
+        )
         return ready
 
     def receive(self, sender: VmId, message, now: float) -> None:
--- a/galenarill/consensus/tests/test_replica.py
+++ b/galenarill/consensus/tests/test_replica.py
@@ -14,6 +14,7 @@
 from galenarill.consensus import (
     EntryKind,
     HardState,
+    Ready,
     Replica,
     Role,
     Snapshot,
@@ -51,6 +52,8 @@
     def __init__(self, vm, disk, seed, now):
         self.vm = vm
         self.disk = disk
+        # Entries of a leader that are not synced yet.
+        self.deferred = []
         base = disk.snapshot.index if disk.snapshot else 0
         entries = [disk.entries[i] for i in sorted(disk.entries) if i > base]
         self.replica = Replica(
@@ -98,10 +101,20 @@
         ready = node.replica.take_ready()
         if crash_at == "before sync":
             return self.restart(vm)
-        node.disk.store(ready)
-        if crash_at == "after sync":
-            return self.restart(vm)
-        node.replica.mark_synced(node.replica.log.last_index, self.now)
+        if (
+            crash_at is None
+            and ready.may_defer_sync
+            and self.rng.random() < 0.6
+        ):
+            node.deferred += ready.entries
+        else:
+            if node.deferred:
+                node.disk.store(Ready(entries=node.deferred))
+                node.deferred = []
+            node.disk.store(ready)
+            if crash_at == "after sync":
+                return self.restart(vm)
+            node.replica.mark_synced(node.replica.log.last_index, self.now)
         for peer, message in ready.messages:
             if vm not in self.isolated and peer not in self.isolated:
                 self.network.append((vm, peer, message))
