Test the division of the fleet with machines and workers

Change: the simulation has a queue for each further pool; a busy pool gives half of the machines to a pool whose turn begins, and no run is ended by a move; a lasting task without a worker draws at most two machines.

--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -46,7 +46,16 @@
     queue = msgspec.structs.replace(queue, priority=1)
     return Configuration(
         version,
-        (queue, urgent),
+        (
+            queue,
+            urgent,
+            *(
+                msgspec.structs.replace(
+                    queue, name=name, prefix=f"/{name}/", pool=name
+                )
+                for name in other_pools
+            ),
+        ),
         (
             Pool("pool", True, False),
             Pool("spare", True, True),
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -347,3 +347,52 @@
         assert running >= 2
     assert simulation.state.waves[1].is_completed
     assert machines.maintained == set(pools)
+
+
+def test_a_pool_with_a_backlog_gives_busy_machines_to_a_pool_below_its_share(
+    make,
+):
+    """Load: the turn of one queue begins while another's backlog is done.
+
+    Every machine is busy, and none has been idle for a moment.
+    """
+    simulation, machines = make(
+        {f"m{n}": "pool" for n in range(8)},
+        other_pools=("other",),
+        seconds_of=lambda task, run: (1.0, "done"),
+    )
+    simulation.advance(4)
+    for number in range(40):
+        simulation.submit(f"a{number}", count=4, estimate_ms=6000)
+    simulation.advance(0.5)
+    simulation.submit("b", count=12, estimate_ms=6000, queue="other")
+    simulation.advance(2.0)
+    pools = [machine.pool for machine in machines.machines.values()]
+    # Both need more than half of the fleet.
+    assert pools.count("other") == pools.count("pool") == 4, machines.orders
+    simulation.advance(4.0)
+    assert simulation.status("b") is JobStatus.COMPLETED
+    simulation.advance(20.0)
+    simulation.check()
+    assert simulation.all_completed()
+    # No run was ended by a move.
+    assert not [r for r in simulation.network.history if r.how == "crashed"]
+
+
+def test_a_lasting_task_without_a_worker_causes_no_surge(make):
+    """Load: a step allows one task on a worker and has one more than workers.
+
+    Seen on the large site: 1 to 2 waiting tasks drew 61 machines.
+    """
+    simulation, machines = make(
+        {
+            **{f"m{n}": "pool" for n in range(3)},
+            **{f"s{n}": "spare" for n in range(9)},
+        },
+        seconds_of=lambda task, run: (600.0, "done"),
+    )
+    simulation.advance(1)
+    simulation.submit("lasting", 4, is_long_running=True, max_per_worker=1)
+    simulation.advance(4)
+    moved = [order for order in machines.orders if order[2] == "pool"]
+    assert 1 <= len(moved) <= 2
