Go on after an unexpected error in the scheduler, a link or the log

Cause: an error of an unexpected type ended for the rest of a term the placement, the tick, the machine loop or the renewals of a worker, whose runs were then lost; an error in the handler of a message ended the task that dials that peer, for good; an order on an unknown wave, once committed, ended every coordinator that applied it, again after each restart. Change: each loop logs the error and goes on; a link is reset and dialled again; a command on an unknown wave changes no wave.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -134,9 +134,9 @@
             self._index_job(job_id, job)
         for known in self._registry.workers.values():
             self.note_report(known.report)
-        self._context.spawn(self._placer.run())
-        self._context.spawn(self._tick_forever())
-        self._context.spawn(self._do_housekeeping_forever())
+        self._context.spawn_loop(self._placer.run_next_round, "placement")
+        self._context.spawn_loop(self._tick, "tick")
+        self._context.spawn_loop(self._do_housekeeping, "housekeeping")
 
     def stop(self) -> None:
         """Stop scheduling, because another coordinator may lead."""
@@ -345,24 +345,22 @@
             and run.row.percent >= 100
         )
 
-    async def _tick_forever(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_SECONDS)
-            if not self._context.has_leader_lease():
-                continue
-            self._end_committer.end_runs_with_expired_lease(monotonic_now())
-            for job_id in list(self._timed_jobs):
-                self._placer.refresh_ready_tasks(job_id)
-            self._context.wake.set()
-
-    async def _do_housekeeping_forever(self) -> None:
-        while True:
-            _VERSION.set(self._state.routing.configuration.version)
-            for tenant, used in self.runs.used_by_tenant.items():
-                _TENANT_CPU.set(used.cpu, {"tenant": tenant})
-            if self._context.has_leader_lease():
-                self._forget_old_jobs()
-            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+    async def _tick(self) -> None:
+        await asyncio.sleep(TICK_SECONDS)
+        if not self._context.has_leader_lease():
+            return
+        self._end_committer.end_runs_with_expired_lease(monotonic_now())
+        for job_id in list(self._timed_jobs):
+            self._placer.refresh_ready_tasks(job_id)
+        self._context.wake.set()
+
+    async def _do_housekeeping(self) -> None:
+        _VERSION.set(self._state.routing.configuration.version)
+        for tenant, used in self.runs.used_by_tenant.items():
+            _TENANT_CPU.set(used.cpu, {"tenant": tenant})
+        if self._context.has_leader_lease():
+            self._forget_old_jobs()
+        await asyncio.sleep(HOUSEKEEPING_SECONDS)
 
     def _forget_old_jobs(self) -> None:
         limit = wall_now() - self._retention_seconds
--- a/galenarill/coordinator/machines.py
+++ b/galenarill/coordinator/machines.py
@@ -51,5 +51,9 @@
                 )
             except NotLeaderError:
                 return
+            except Exception:
+                logger.exception(
+                    "step of a loop failed", extra={"loop": "machines"}
+                )
     finally:
         fleet.stop()
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -113,14 +113,13 @@
         # Tasks that found no worker in the latest round, by pool.
         self.unplaced: dict[PoolId, list[UnplacedTasks]] = {}
 
-    async def run(self) -> None:
-        """Run a placement round after each change, until cancelled."""
-        while True:
-            await self._context.wake.wait()
-            self._context.wake.clear()
-            if self._context.has_leader_lease():
-                self._place()
-            await asyncio.sleep(PLACEMENT_PAUSE_SECONDS)
+    async def run_next_round(self) -> None:
+        """Wait for a change, run a placement round, and pause."""
+        await self._context.wake.wait()
+        self._context.wake.clear()
+        if self._context.has_leader_lease():
+            self._place()
+        await asyncio.sleep(PLACEMENT_PAUSE_SECONDS)
 
     def cordon(self, worker: WorkerId) -> None:
         """Exclude a worker from new starts."""
--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -12,6 +12,7 @@
 from galenarill.coordinator.runs import Phase, TrackedRun
 from galenarill.coordinator.term import RETRY_SECONDS, TermContext
 from galenarill.coordinator.throttling import BestEffortThrottle
+from galenarill.errors import NotLeaderError
 from galenarill.jobs import RunOutcome
 from galenarill.workers import (
     OrderAnswer,
@@ -143,7 +144,17 @@
             was_answering = is_answering
             is_answering = answer.verdict is Verdict.DONE
             if is_answering:
-                await self._process_lists(session, answer.lists, sent_at)
+                try:
+                    await self._process_lists(session, answer.lists, sent_at)
+                except NotLeaderError:
+                    raise
+                except Exception:
+                    # Without renewals all runs of the worker would be lost.
+                    logger.exception(
+                        "lists not processed",
+                        extra={"worker": session.report.worker},
+                    )
+                    await asyncio.sleep(RETRY_SECONDS)
             if is_answering != was_answering:
                 self._log_reachability(session, answer)
                 self._context.wake.set()
--- a/galenarill/coordinator/term.py
+++ b/galenarill/coordinator/term.py
@@ -66,6 +66,31 @@
         task.add_done_callback(self._finish)
         return task
 
+    def spawn_loop(self, step, name: str) -> asyncio.Task:
+        """Run a loop until `stop` is called.
+
+        An unexpected error of one step is logged, and the loop goes on: one
+        job or worker must not stop the scheduling of all others.
+
+        Args:
+            step: Coroutine function of one step, including its pause.
+            name: Name of the loop in log lines.
+        """
+
+        async def run():
+            while True:
+                try:
+                    await step()
+                except NotLeaderError:
+                    return
+                except Exception:
+                    logger.exception(
+                        "step of a loop failed", extra={"loop": name}
+                    )
+                    await asyncio.sleep(RETRY_SECONDS)
+
+        return self.spawn(run())
+
     def stop(self) -> None:
         """Cancel all spawned coroutines."""
         for task in self._tasks:
--- a/galenarill/jobs/state.py
+++ b/galenarill/jobs/state.py
@@ -167,11 +167,11 @@
                         ),
                     )
                 case cmd.OrderMaintenance():
-                    wave = self.waves[command.wave]
-                    wave.ordered[command.machine] = command.at
-                    self._record_order(command)
+                    self._order_maintenance(command)
                 case cmd.FinishMaintenance():
-                    self.waves[command.wave].finished.add(command.machine)
+                    if command.wave in self.waves:
+                        wave = self.waves[command.wave]
+                        wave.finished.add(command.machine)
                 case cmd.MoveMachine():
                     self._record_order(command)
         return changed_jobs
@@ -185,6 +185,12 @@
         # Latest order by machine.
         self.orders = snapshot.orders
 
+    def _order_maintenance(self, command: cmd.OrderMaintenance) -> None:
+        # An error here would end every coordinator that applies the entry.
+        if command.wave in self.waves:
+            self.waves[command.wave].ordered[command.machine] = command.at
+        self._record_order(command)
+
     def _record_order(
         self, command: cmd.OrderMaintenance | cmd.MoveMachine
     ) -> None:
--- a/galenarill/links/mesh.py
+++ b/galenarill/links/mesh.py
@@ -262,6 +262,13 @@
             await self._receive_forever(peer, link)
         except ProtocolError as error:
             logger.error("link reset", extra={"peer": peer, "why": str(error)})
+        except websockets.ConnectionClosed as error:
+            logger.debug("link closed", extra={"peer": peer, "why": str(error)})
+        except Exception as error:
+            # A message that a handler fails on ends its link only.
+            logger.exception(
+                "link reset", extra={"peer": peer, "why": repr(error)}
+            )
         finally:
             sender.cancel()
             self._reset_link(peer, link)
