--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -298,7 +298,7 @@
                         continue
                     load.waiting = load.waiting.plus(demand)
                     if waiting.step.is_long_running:
-                        load.unplaced_lasting += waiting.count
+                        load.waiting_lasting = load.waiting_lasting.plus(demand)
                     else:
                         load.unplaced += waiting.count
         now = monotonic_now()
--- a/galenarill/pools/plan.py
+++ b/galenarill/pools/plan.py
@@ -47,7 +47,7 @@
         is_spare: Whether its machines are switched off.
         unplaced: Number of tasks that found no worker and whose jobs can still
             meet their objective, without long-running ones.
-        unplaced_lasting: Number of long-running tasks that found no worker.
+        waiting_lasting: The part of `waiting` that long-running tasks need.
         recently_needed: Maximum of the needed machines over the last moments;
             other pools get none of these machines.
         peak_needed: The same over a longer time; none of these machines is
@@ -66,7 +66,7 @@
     hard_minimum: int = 1
     is_spare: bool = False
     unplaced: int = 0
-    unplaced_lasting: int = 0
+    waiting_lasting: Resources = dataclasses.field(default_factory=Resources)
     recently_needed: int = 0
     peak_needed: int = 0
     surge: int = 0
@@ -163,6 +163,16 @@
     )
 
 
+def _missing_machines(load: PoolLoad, capacity: Resources) -> int:
+    """Return how many machines the tasks need that fit on none of the pool's.
+
+    Long-running tasks keep what they get, so each round of too few machines
+    would add to the time until all of them run.
+    """
+    lasting = _machines_for(load.waiting_lasting, capacity)
+    return max(lasting, 1 if load.unplaced else 0)
+
+
 def _machines_for(total: Resources, capacity: Resources) -> int:
     demand = max(
         amount / available
@@ -232,18 +242,16 @@
             pool: desired_machines(load, capacity)
             for pool, load in loads.items()
         }
-        # Desired size, or one machine more than present if a task fits on
-        # none of the pool's machines and no machine is on its way.
+        # Desired size, or more machines than present if tasks fit on none of
+        # the pool's machines and no machine is on its way.
         self._targets = {}
         for pool, load in loads.items():
-            is_arriving = any(member.is_arriving for member in by_pool[pool])
-            is_short = load.unplaced or load.unplaced_lasting
-            needs_one_more = is_short and not is_arriving
-            self._targets[pool] = (
-                max(self._desired[pool], self._sizes[pool] + 1)
-                if needs_one_more
-                else self._desired[pool]
-            )
+            self._targets[pool] = self._desired[pool]
+            missing = _missing_machines(load, capacity)
+            if missing and not any(m.is_arriving for m in by_pool[pool]):
+                self._targets[pool] = max(
+                    self._desired[pool], self._sizes[pool] + missing
+                )
         self._free = self._free_members(members)
 
     def grow(self) -> None:
--- a/galenarill/pools/tests/test_plan.py
+++ b/galenarill/pools/tests/test_plan.py
@@ -170,3 +170,15 @@
         "d": 4,
     }
     assert divide_machines({"a": 9}, 0) == {"a": 0}
+
+
+def test_lasting_tasks_that_fit_nowhere_get_all_their_machines_at_once():
+    """Load: 5 lasting tasks wait that need most of a machine's memory each.
+
+    Seen on the large site: one machine came each 2.4 s.
+    """
+    members = [member(f"a{n}", "a", 0.0) for n in range(3)]
+    members += [member(f"s{n}", "spare") for n in range(9)]
+    pools = loads(a=3)
+    pools["a"].waiting_lasting = pools["a"].waiting = Resources(5, 450)
+    assert len(moves_of(pools, members)) == 5
