Count only machines that answer, and bound a surge by the demand seen

Change: a machine whose worker hasn't answered for 1 s counts toward no pool, and isn't moved; a surge is at most twice the demand that can be seen.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -228,6 +228,11 @@
             or self._placer.is_proposed_on(worker)
         )
 
+    def is_answering(self, worker: WorkerId) -> bool:
+        """Return whether a worker is known and answers."""
+        session = self.sessions.get(worker)
+        return session is not None and self._context.is_answering(session)
+
     def cordon(self, worker: WorkerId) -> None:
         """Exclude a worker from new starts."""
         self._placer.cordon(worker)
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -34,8 +34,14 @@
 LENDING_WINDOW_SECONDS = 0.3
 RELEASE_WINDOW_SECONDS = 1.2
 POOL_LOG_SECONDS = 1.0
+# Time without a worker that answers, in seconds, after which a machine does not
+# count toward its pool. More than a new worker takes to report.
+SILENCE_SECONDS = 1.0
 # Share of the fleet that one queue needs in a surge: 11 to 18 of 30 machines.
 SURGE_SHARE = 0.34
+# A surge is at most this many times the demand that can be seen already. A few
+# tasks of an otherwise quiet queue are no surge.
+MAX_SURGE_RATIO = 2
 # A surge has begun if tasks of a pool had no worker for this long, in seconds.
 SHORTAGE_SECONDS = 0.25
 # Minimum machines of a pool that is not spare, so that the loss of one does not
@@ -57,6 +63,8 @@
         self._state = state
         self._fleet = fleet
         self._idle_since: dict[WorkerId, float] = {}
+        # Since when a machine that should serve has no worker that answers.
+        self._silent_since: dict[MachineId, float] = {}
         # Worker of each machine that gets no more tasks, to be moved when idle.
         self._releasing: dict[MachineId, WorkerId] = {}
         # Kinds of machine that the platform refuses to move to a pool.
@@ -72,6 +80,7 @@
         """Order the moves that the current load requires."""
         now = monotonic_now()
         self._update_idle_since(now)
+        self._update_silent_since(now)
         loads = self._pool_loads(now)
         members = [
             self._member(machine, now)
@@ -104,6 +113,26 @@
             else:
                 self._idle_since.pop(worker, None)
 
+    def _update_silent_since(self, now: float) -> None:
+        spare_pools = {
+            pool.name
+            for pool in self._state.routing.configuration.pools
+            if pool.is_spare
+        }
+        for machine in self._fleet.machines.values():
+            if (
+                machine.pool in spare_pools
+                or self._fleet.is_moving(machine.id)
+                or self._leader.is_answering(machine.worker)
+            ):
+                self._silent_since.pop(machine.id, None)
+            else:
+                self._silent_since.setdefault(machine.id, now)
+
+    def _is_silent(self, machine: MachineId, now: float) -> bool:
+        since = self._silent_since.get(machine)
+        return since is not None and now >= since + SILENCE_SECONDS
+
     def _pool_loads(self, now: float) -> dict[PoolId, PoolLoad]:
         reserve = math.ceil(len(self._fleet.machines) * RESERVE_SHARE)
         soft_minimum = max(SOFT_MIN_MACHINES, reserve)
@@ -135,7 +164,8 @@
                 now
                 >= self._shortage_since.setdefault(pool, now) + SHORTAGE_SECONDS
             ):
-                load.surge = surge
+                needed = needed_machines(load, capacity)
+                load.surge = min(surge, MAX_SURGE_RATIO * needed)
             recent = self._recently_needed.setdefault(pool, collections.deque())
             recent.append((now, needed_machines(load, capacity)))
             while recent[0][0] < now - RELEASE_WINDOW_SECONDS:
@@ -152,15 +182,19 @@
         session = self._leader.sessions.get(machine.worker)
         runs = self._leader.runs.by_worker.get(machine.worker, {}).values()
         is_leaving = session is not None and session.report.is_draining
+        is_silent = self._is_silent(machine.id, now)
         return PoolMachine(
             machine.id,
             self._fleet.pool_of(machine),
             machine.kind,
             machine.capacity,
             self._fleet.is_orderable(machine)
-            and machine.id not in self._fleet.cordoned_since,
+            and machine.id not in self._fleet.cordoned_since
+            and not is_silent,
             0.0 if since is None else now - since,
-            machine.state is not MachineState.DOWN and not is_leaving,
+            machine.state is not MachineState.DOWN
+            and not is_leaving
+            and not is_silent,
             self._fleet.is_moving(machine.id),
             # A start that is being proposed counts as a run.
             max(len(runs), since is None),
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -396,3 +396,35 @@
     simulation.advance(4)
     moved = [order for order in machines.orders if order[2] == "pool"]
     assert 1 <= len(moved) <= 2
+
+
+def test_machines_that_do_not_answer_are_replaced_from_the_spare_pool(make):
+    """Load: a zone is cut off with a fifth of a pool's machines in it.
+
+    Seen on the large site: 111 machines for a need of 100, 22 of them cut off,
+    while 93 were spare and 200 tasks waited.
+    """
+    simulation, machines = make(
+        {
+            **{f"m{n}": "pool" for n in range(6)},
+            **{f"s{n}": "spare" for n in range(4)},
+        },
+        seconds_of=lambda task, run: (1.0, "done"),
+    )
+    simulation.advance(2)
+    in_use = [m for m in machines.machines.values() if m.pool == "pool"]
+    for machine in in_use[:2]:
+        simulation.network.cut.add(f"{machine.worker}:1")
+    for second in range(8):
+        simulation.submit(f"j{second}", count=20, estimate_ms=1000)
+        simulation.advance(1.0)
+    answering = [
+        m.id
+        for m in machines.machines.values()
+        if m.pool == "pool"
+        and simulation.call(simulation.leader.is_answering, m.worker)
+    ]
+    assert len(answering) >= 6, machines.orders
+    # The silent machines are left alone: their runs may go on.
+    moved = {order[1] for order in machines.orders if order[4] > 1002.5}
+    assert not moved & {machine.id for machine in in_use[:2]}
