--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -26,6 +26,8 @@
 logger = logging.getLogger(__name__)
 
 _POOL_MACHINES = meter().create_gauge("galenarill_pool_machines")
+_RELEASING = meter().create_gauge("galenarill_releasing_machines")
+_SILENT = meter().create_gauge("galenarill_silent_machines")
 _POOL_UNPLACED = meter().create_gauge("galenarill_pool_unplaced_tasks")
 
 # Stabilization windows, in seconds: when its load drops, a pool keeps the
@@ -212,6 +214,10 @@
             return
         self._logged_at = now
         machines = collections.Counter(member.pool for member in members)
+        _RELEASING.set(len(self._releasing))
+        _SILENT.set(
+            sum(self._is_silent(machine, now) for machine in self._silent_since)
+        )
         for pool, load in loads.items():
             _POOL_MACHINES.set(machines[pool], {"pool": pool})
             _POOL_UNPLACED.set(load.unplaced, {"pool": pool})
@@ -228,6 +234,8 @@
                     "needed": load.recently_needed,
                     "running_cpu": load.running.cpu,
                     "waiting_cpu": load.waiting.cpu,
+                    "late_cpu": load.late.cpu,
+                    "arriving_cpu": load.arriving.cpu,
                     "unplaced": load.unplaced,
                     "list_age": round(now - self._fleet.read_at, 3),
                 },
