--- a/galenarill/coordinator/tests/test_worker_restarts.py
+++ b/galenarill/coordinator/tests/test_worker_restarts.py
@@ -106,3 +106,21 @@
     assert simulation.all_completed()
     assert len(simulation.network.history) == 6
     simulation.close()
+
+
+def test_a_late_report_of_a_worker_that_has_gone_draws_no_starts():
+    """After a restart a coordinator knows no departures."""
+    simulation = Simulation(workers=1)
+    simulation.advance(1.0)
+    present = simulation.network.workers["w0:1"].report
+    gone = msgspec.structs.replace(present, worker="w9", address="w9:1")
+    # Another worker has the address of one that has gone.
+    replaced = msgspec.structs.replace(present, worker="w8", born=1)
+    simulation.call(simulation.report, gone)
+    simulation.call(simulation.report, replaced)
+    simulation.submit("j1", 12)
+    simulation.advance(6.0)
+    assert simulation.all_completed()
+    assert {begun.worker for begun in simulation.network.history} == {"w0"}
+    assert len(simulation.network.orders) == 12
+    simulation.close()
