--- a/galenarill/platform/worker_client.py
+++ b/galenarill/platform/worker_client.py
@@ -41,7 +41,12 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0, limit_per_host=MAX_CONNECTIONS, keepalive_timeout=30
-            )
+            ),
+            # Each call has a timeout of its own, and workers set no cookies.
+            timeout=aiohttp.ClientTimeout(total=None),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            auto_decompress=False,
         )
 
     async def aclose(self) -> None:
@@ -128,6 +133,7 @@
             async with asyncio.timeout(timeout_seconds):
                 async with self._session.post(
                     f"http://{worker.address}/galenarill/{name}",
+                    allow_redirects=False,
                     data=msgspec.json.encode(body),
                     headers={
                         "Content-Type": "application/json",
