Hold a worker for a lasting task that fits nowhere

Change: after 2 s without a worker, the one where the least is missing, and where the task fits once finite runs have ended, gets no more finite tasks until it does.

--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -3,8 +3,10 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import itertools
 import logging
+from collections.abc import Callable
 
 from galenarill.common import (
     JobId,
@@ -36,6 +38,7 @@
     Quota,
     TaskGroup,
     TenantUsage,
+    choose_workers_to_hold,
     make_group,
     place_groups,
 )
@@ -54,6 +57,12 @@
 # Pause between two placement rounds, in seconds. Starts of one burst then share
 # one sync of the log.
 PLACEMENT_PAUSE_SECONDS = 0.01
+# Time that a long-running task waits before a worker is held for it, in
+# seconds.
+# Longer than most finite tasks run, and than a machine takes to move.
+HOLD_DELAY_SECONDS = 2.0
+# Most workers that are held at a time.
+MAX_HELD_WORKERS = 8
 # Time without an answer from a worker after which its speculative tasks get a
 # copy, in seconds. Longer than a worker holds a renewal open.
 SPECULATION_SILENCE_SECONDS = 1.0
@@ -110,6 +119,10 @@
             collections.Counter()
         )
         self._cordoned: set[WorkerId] = set()
+        # Since when long-running tasks have found no worker, and the workers
+        # that are held for them.
+        self._waiting_since: dict[tuple[JobId, TaskKey], float] = {}
+        self._held: dict[tuple[JobId, TaskKey], WorkerId] = {}
         # Tasks that found no worker in the latest round, by pool.
         self.unplaced: dict[PoolId, list[UnplacedTasks]] = {}
 
@@ -186,6 +199,7 @@
                 self.refresh_ready_tasks(job_id)
         self.unplaced = {}
         if not self._groups:
+            self._waiting_since, self._held = {}, {}
             return
         groups = [group for job in self._groups.values() for group in job]
         proposed = self._uncommitted_starts()
@@ -196,14 +210,17 @@
         wall_time = wall_now()
         # Number of tasks on each worker, by job, occurrence and step.
         step_tasks_by_worker: dict[tuple, dict[WorkerId, int]] = {}
+        make_candidate = functools.partial(
+            self._candidate,
+            step_tasks_by_worker=step_tasks_by_worker,
+            proposed=proposed,
+        )
         placements = place_groups(
             groups,
-            Packer(available, quotas),
+            Packer(available, quotas, frozenset(self._held.values())),
             usage,
             wall_time,
-            lambda group, key: self._candidate(
-                group, key, step_tasks_by_worker, proposed
-            ),
+            make_candidate,
         )
         waiting = [group for group in groups if group.keys]
         for group in waiting:
@@ -214,15 +231,71 @@
             )
         self._preemptor.preempt(
             waiting,
-            lambda group, key: self._candidate(
-                group, key, step_tasks_by_worker, proposed
-            ),
+            make_candidate,
             available,
             quotas,
         )
+        self._hold_workers(waiting, make_candidate, available)
         if placements:
             self._start(placements, sum(len(group.keys) for group in waiting))
 
+    def _hold_workers(
+        self,
+        waiting: list[TaskGroup],
+        make_candidate: Callable[[TaskGroup, TaskKey], Candidate],
+        available: dict[PoolId, list[AvailableWorker]],
+    ) -> None:
+        """Hold workers for long-running tasks that have waited for a while."""
+        now = monotonic_now()
+        tasks = {
+            (group.job, key): group
+            for group in waiting
+            if group.step.is_long_running
+            for key in group.keys
+        }
+        self._waiting_since = {
+            task_id: self._waiting_since.get(task_id, now) for task_id in tasks
+        }
+        delayed = [
+            (task_id, make_candidate(group, task_id[1]))
+            for task_id, group in tasks.items()
+            if now >= self._waiting_since[task_id] + HOLD_DELAY_SECONDS
+        ][:MAX_HELD_WORKERS]
+        if not delayed:
+            self._held = {}
+            return
+        pools = {candidate.pool for _, candidate in delayed}
+        held = choose_workers_to_hold(
+            delayed,
+            available,
+            {
+                available_worker.report.worker: self._releasable(
+                    available_worker.report.worker
+                )
+                for pool in pools
+                for available_worker in available.get(pool, [])
+            },
+            self._held,
+        )
+        for job_id, key in held.keys() - self._held.keys():
+            logger.info(
+                "worker held",
+                extra={
+                    "job": job_id,
+                    "task": list(key),
+                    "worker": held[job_id, key],
+                },
+            )
+        self._held = held
+
+    def _releasable(self, worker: WorkerId) -> Resources:
+        """Return the capacity that a worker's finite runs will release."""
+        total = Resources()
+        for run in self._context.runs.on_worker(worker):
+            if not run.step.is_long_running:
+                total = total.plus(run.step.reserved)
+        return total
+
     def _start(self, placements: list[Placement], waiting: int) -> None:
         commands = [
             self._propose(placement, waiting) for placement in placements
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -203,6 +203,14 @@
 
         self.run(accept())
 
+    def submit_step(self, job, step, tenant="", queue="q"):
+        async def accept():
+            spec = JobSpec("x", (step,))
+            at = self.loop.time()
+            self.apply([AcceptJob(job, queue, tenant, spec, at)])
+
+        self.run(accept())
+
     def cancel(self, job):
         async def apply():
             self.apply([CancelJob(job, self.loop.time())])
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -11,7 +11,9 @@
     Incarnation,
     JobStatus,
     StartRun,
+    Step,
 )
+from galenarill.routing import Resources
 from galenarill.workers import Advice, AdviceClient, OrderAnswer, Verdict
 
 
@@ -469,3 +471,30 @@
     simulation.advance(1)
     workers = {begun.worker for begun in simulation.network.history}
     assert workers == {"w0", "w1"}
+
+
+def test_a_lasting_task_is_not_starved_by_small_finite_ones(make):
+    """Load: finite tasks take each freed CPU; a lasting task needs four.
+
+    Seen on the large site at its small size (LOST): a lasting task without a
+    run in a full pool of equally urgent tasks.
+    """
+    simulation = make(
+        seconds_of=lambda task, run: (
+            (600.0, "done") if task.startswith("lasting") else (1.0, "done")
+        ),
+        workers=2,
+    )
+    simulation.advance(1)
+    for number in range(40):
+        simulation.submit(f"j{number}", count=4, estimate_ms=1000)
+        simulation.advance(0.13)
+    # All of a worker: 4 of 4 CPU.
+    simulation.submit_step(
+        "lasting", Step(1, Resources(4), is_long_running=True)
+    )
+    for number in range(40, 90):
+        simulation.submit(f"j{number}", count=4, estimate_ms=1000)
+        simulation.advance(0.13)
+    begun = [b for b in simulation.network.history if "lasting" in b.task]
+    assert begun, "the lasting task did not start within 6.5 s"
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -2,7 +2,7 @@
 
 import bisect
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
 from galenarill.jobs import GANG, Incarnation, Step, TaskKey
@@ -103,14 +103,20 @@
     members: tuple[tuple[int, Incarnation], ...]
 
 
-# What decides on which workers a task fits: pool, reserved capacity, label and
-# rack of the data.
-Shape = tuple[PoolId, Resources, str, str]
+# What decides on which workers a task fits: pool, reserved capacity, label,
+# rack of the data and whether it is long-running.
+Shape = tuple[PoolId, Resources, str, str, bool]
 
 
 def shape_of(pool: PoolId, step: Step) -> Shape:
     """Return the shape of the tasks of a step."""
-    return (pool, step.reserved, step.label, step.data_rack)
+    return (
+        pool,
+        step.reserved,
+        step.label,
+        step.data_rack,
+        step.is_long_running,
+    )
 
 
 class Packer:
@@ -123,13 +129,16 @@
         self,
         available: dict[PoolId, list[AvailableWorker]],
         quotas: dict[TeamId, Quota],
+        held: Collection[WorkerId] = (),
     ):
         """Create a packer; placing updates `available` and `quotas`.
 
         Args:
             available: Workers by pool.
             quotas: Quotas by tenant. A tenant without an entry has no limit.
+            held: Workers that get long-running tasks only.
         """
+        self._held = held
         self._available = {
             pool: _prefer_healthy(members)
             for pool, members in available.items()
@@ -171,7 +180,7 @@
             workers = [preferred]
         else:
             workers = _assign_workers(
-                candidate, count, self._available[candidate.pool]
+                candidate, count, self._members(candidate)
             )
         if workers is None:
             return None
@@ -187,6 +196,12 @@
             members.append((member, Incarnation(worker, report.born)))
         return Placement(candidate, tuple(members))
 
+    def _members(self, candidate: Candidate) -> list[AvailableWorker]:
+        members = self._available[candidate.pool]
+        if candidate.step.is_long_running or not self._held:
+            return members
+        return [w for w in members if w.report.worker not in self._held]
+
     def _find_preferred(self, shape: Shape) -> AvailableWorker | None:
         """Return the preferred worker for a shape, or None if it fits nowhere.
 
@@ -194,14 +209,17 @@
         """
         if shape in self._exhausted:
             return None
-        pool, reserved, label, rack = shape
+        pool, reserved, label, rack, is_long_running = shape
         entries = self._by_free_cpu.get(pool, [])
         off_rack = None
         for position in range(
             bisect.bisect_left(entries, (reserved.cpu,)), len(entries)
         ):
             available_worker = entries[position][2]
-            labels = available_worker.report.labels
+            report = available_worker.report
+            labels = report.labels
+            if report.worker in self._held and not is_long_running:
+                continue
             if not reserved.fits(available_worker.free) or (
                 label and label not in labels
             ):
