--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -2,7 +2,7 @@
 
 import bisect
 import dataclasses
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
 from galenarill.jobs import GANG, Incarnation, Step, TaskKey
@@ -17,7 +17,6 @@
     "Packer",
     "Shape",
     "shape_of",
-    "place_tasks",
     "is_eligible",
 ]
 
@@ -251,29 +250,6 @@
     )
 
 
-def place_tasks(
-    candidates: Iterable[Candidate],
-    available: dict[PoolId, list[AvailableWorker]],
-    quotas: dict[TeamId, Quota],
-) -> list[Placement]:
-    """Assign tasks to workers, in the given order.
-
-    Updates the free capacity of `available` and the usage in `quotas`. A task
-    that does not fit is skipped.
-
-    Args:
-        candidates: Ready tasks, the most urgent first.
-        available: Workers by pool.
-        quotas: Quotas by tenant. A tenant without an entry has no limit.
-
-    Returns:
-        Placements of the tasks that fit.
-    """
-    packer = Packer(available, quotas)
-    placements = (packer.place(candidate) for candidate in candidates)
-    return [placement for placement in placements if placement is not None]
-
-
 def is_eligible(
     candidate: Candidate, available_worker: AvailableWorker
 ) -> bool:
--- a/galenarill/placement/tests/test_plan.py
+++ b/galenarill/placement/tests/test_plan.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from galenarill.jobs import GANG, Step, TaskKey
-from galenarill.placement import AvailableWorker, Candidate, Quota, place_tasks
+from galenarill.placement import AvailableWorker, Candidate, Packer, Quota
 from galenarill.routing import Resources
 from galenarill.workers import WorkerReport
 
@@ -21,6 +21,12 @@
     return Candidate(job, TaskKey(0, 0, index), step, "p", tenant)
 
 
+def place_tasks(candidates, available, quotas):
+    packer = Packer(available, quotas)
+    placements = [packer.place(candidate) for candidate in candidates]
+    return [placement for placement in placements if placement is not None]
+
+
 def placed(placements):
     return [
         (p.candidate.job, [incarnation.worker for _, incarnation in p.members])
