--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -205,19 +205,21 @@
             return
         if job_id not in self._active_jobs:
             self._active_jobs.add(job_id)
-            self._note_arrival(job)
+            self._note_new_job(job)
         if job.spec.repeat_count or any(
             step.is_speculative for step in job.spec.steps
         ):
             self._timed_jobs.add(job_id)
 
-    def _note_arrival(self, job: Job) -> None:
+    def _note_new_job(self, job: Job) -> None:
+        """Record the objective of a job, and its work if it has just arrived."""
         queue = self._state.routing.queue(job.queue)
+        if queue is None:
+            return
+        last = job.spec.occurrences - 1
+        self._objective_at[job.id] = objective_at(job, last, queue)
         age = wall_now() - job.accepted_at
-        if queue is not None:
-            last = job.spec.occurrences - 1
-            self._objective_at[job.id] = objective_at(job, last, queue)
-        if queue is None or job.spec.repeat_count or age > ARRIVAL_SECONDS:
+        if job.spec.repeat_count or age > ARRIVAL_SECONDS:
             return
         for step in job.spec.steps:
             if not step.is_long_running:
