--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -212,7 +212,7 @@
             self._timed_jobs.add(job_id)
 
     def _note_new_job(self, job: Job) -> None:
-        """Record the objective of a job, and its work if it has just arrived."""
+        """Record the objective of a job, and its work if it is recent."""
         queue = self._state.routing.queue(job.queue)
         if queue is None:
             return
