Take arrivals for a rate only as far as their number shows one

Change: the capacity for arrivals is one standard deviation below the mean of a Poisson process, so one job is no rate and 38 equal ones are 84% of it. The demand of a waiting task is rounded up: a need of one unit counted as none.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -25,7 +25,7 @@
 )
 from galenarill.maintenance_waves import DisruptionBudget
 from galenarill.placement import estimated_seconds, objective_at
-from galenarill.pools import ARRIVAL_SECONDS, ArrivalRate, PoolLoad
+from galenarill.pools import ARRIVAL_SECONDS, ArrivalRate, PoolLoad, Work
 from galenarill.routing import Resources
 from galenarill.telemetry import meter
 from galenarill.workers import (
@@ -221,14 +221,9 @@
         age = wall_now() - job.accepted_at
         if job.spec.repeat_count or age > ARRIVAL_SECONDS:
             return
-        for step in job.spec.steps:
-            if not step.is_long_running:
-                self._arrivals.add(
-                    queue.pool,
-                    step.reserved.times(step.count),
-                    estimated_seconds(step),
-                    monotonic_now(),
-                )
+        work = _work(job)
+        if any(work):
+            self._arrivals.add(queue.pool, work, monotonic_now())
 
     def is_idle(self, worker: WorkerId) -> bool:
         """Return whether a worker has no runs and no proposed starts."""
@@ -402,13 +397,27 @@
             self._context.propose(ForgetJobs(old))
 
 
+def _work(job: Job) -> Work:
+    """Return the work of a job's finite tasks."""
+    cpu, mem_mb, gpu = 0.0, 0.0, 0.0
+    for step in job.spec.steps:
+        if not step.is_long_running:
+            seconds = step.count * estimated_seconds(step)
+            cpu += step.reserved.cpu * seconds
+            mem_mb += step.reserved.mem_mb * seconds
+            gpu += step.reserved.gpu * seconds
+    return cpu, mem_mb, gpu
+
+
 def _demand_at_arrival(step: Step) -> Resources:
     """Return the expected demand of a waiting task when a machine arrives."""
     share = min(1.0, estimated_seconds(step) / MACHINE_ARRIVAL_SECONDS)
     if step.is_long_running:
         share = 1.0
     need = step.reserved
-    return Resources(int(need.cpu * share), int(need.mem_mb * share), need.gpu)
+    return Resources(
+        math.ceil(need.cpu * share), math.ceil(need.mem_mb * share), need.gpu
+    )
 
 
 def _min_workers(job: Job) -> int:
--- a/galenarill/pools/arrivals.py
+++ b/galenarill/pools/arrivals.py
@@ -1,11 +1,15 @@
 """Capacity that keeps up with the work that arrives."""
 
 import collections
+import math
 
 from galenarill.common import PoolId
 from galenarill.routing import Resources
 
-__all__ = ["ArrivalRate", "ARRIVAL_SECONDS"]
+__all__ = ["ArrivalRate", "Work", "ARRIVAL_SECONDS"]
+
+# CPU, memory and accelerators, each times the seconds for which it is needed.
+Work = tuple[float, float, float]
 
 # Time over which arrivals are counted, in seconds. Shorter than a machine takes
 # to move, and long enough for several jobs of a queue's load peak.
@@ -20,38 +24,37 @@
     load in which a queue's demand rises at once: the capacity that it will need
     is known from its first jobs, before a backlog has built up.
 
+    The capacity is one standard deviation below the mean for arrivals of a
+    Poisson process. A single large job says nothing of a rate, and what it
+    needs shows when it waits and runs.
+
     Example:
         >>> rate = ArrivalRate()
-        >>> rate.add("p", Resources(4000), 2.0, now=10.0)
+        >>> for _ in range(4):
+        ...     rate.add("p", (8000.0, 0.0, 0.0), now=10.0)
         >>> rate.capacity("p", now=10.5).cpu, rate.capacity("p", now=11.0).cpu
-        (10000, 0)
+        (20000, 0)
     """
 
     def __init__(self):
         """Create a rate without arrivals."""
-        self._arrivals: dict[
-            PoolId, collections.deque[tuple[float, Resources, float]]
-        ] = {}
-
-    def add(
-        self, pool: PoolId, need: Resources, seconds: float, now: float
-    ) -> None:
-        """Record work that keeps `need` busy for some seconds."""
+        self._arrivals: dict[PoolId, collections.deque[tuple[float, Work]]] = {}
+
+    def add(self, pool: PoolId, work: Work, now: float) -> None:
+        """Record the work of a job that arrived now."""
         arrivals = self._arrivals.setdefault(pool, collections.deque())
-        arrivals.append((now, need, seconds))
+        arrivals.append((now, work))
 
     def capacity(self, pool: PoolId, now: float) -> Resources:
         """Return the capacity that keeps up with the arrivals of late."""
         arrivals = self._arrivals.get(pool, collections.deque())
         while arrivals and arrivals[0][0] < now - ARRIVAL_SECONDS:
             arrivals.popleft()
-        cpu, mem_mb, gpu = 0.0, 0.0, 0.0
-        for _, need, seconds in arrivals:
-            cpu += need.cpu * seconds
-            mem_mb += need.mem_mb * seconds
-            gpu += need.gpu * seconds
+        if not arrivals:
+            return Resources()
         return Resources(
-            int(cpu / ARRIVAL_SECONDS),
-            int(mem_mb / ARRIVAL_SECONDS),
-            int(gpu / ARRIVAL_SECONDS),
+            *(
+                int((sum(amounts) - math.hypot(*amounts)) / ARRIVAL_SECONDS)
+                for amounts in zip(*(work for _, work in arrivals), strict=True)
+            )
         )
