--- a/galenarill/pools/arrivals.py
+++ b/galenarill/pools/arrivals.py
@@ -1,7 +1,6 @@
 """Capacity that keeps up with the work that arrives."""
 
 import collections
-import math
 
 from galenarill.common import PoolId
 from galenarill.routing import Resources
@@ -24,16 +23,11 @@
     load in which a queue's demand rises at once: the capacity that it will need
     is known from its first jobs, before a backlog has built up.
 
-    The capacity is one standard deviation below the mean for arrivals of a
-    Poisson process. A single large job says nothing of a rate, and what it
-    needs shows when it waits and runs.
-
     Example:
         >>> rate = ArrivalRate()
-        >>> for _ in range(4):
-        ...     rate.add("p", (8000.0, 0.0, 0.0), now=10.0)
+        >>> rate.add("p", (8000.0, 0.0, 0.0), now=10.0)
         >>> rate.capacity("p", now=10.5).cpu, rate.capacity("p", now=11.0).cpu
-        (20000, 0)
+        (10000, 0)
     """
 
     def __init__(self):
@@ -54,7 +48,7 @@
             return Resources()
         return Resources(
             *(
-                int((sum(amounts) - math.hypot(*amounts)) / ARRIVAL_SECONDS)
+                int(sum(amounts) / ARRIVAL_SECONDS)
                 for amounts in zip(*(work for _, work in arrivals), strict=True)
             )
         )
