Place the tasks of a failed round again

Cause: found by reading the diff: a round takes the tasks that it places out of their groups; an unexpected error between that and their proposal left them out of all rounds until something else changed in their job. Change: after an error the ready tasks of all jobs are computed anew. Result: one test, fails before.

--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -133,7 +133,12 @@
         await self._context.wake.wait()
         self._context.wake.clear()
         if self._context.has_leader_lease():
-            self._place()
+            try:
+                self._place()
+            except Exception:
+                # Tasks that were placed but not proposed are ready again.
+                self._refresh_all_jobs()
+                raise
         await asyncio.sleep(PLACEMENT_PAUSE_SECONDS)
 
     def cordon(self, worker: WorkerId) -> None:
@@ -158,6 +163,10 @@
         else:
             self._groups.pop(job_id, None)
 
+    def _refresh_all_jobs(self) -> None:
+        for job_id in self._context.state.jobs:
+            self.refresh_ready_tasks(job_id)
+
     def _ready_groups(self, job: Job) -> list[TaskGroup]:
         queue = self._context.state.routing.queue(job.queue)
         if queue is None or job.status is not JobStatus.ACTIVE:
@@ -197,8 +206,7 @@
     def _place(self) -> None:
         if self._routing is not self._context.state.routing:
             self._routing = self._context.state.routing
-            for job_id in self._context.state.jobs:
-                self.refresh_ready_tasks(job_id)
+            self._refresh_all_jobs()
         self.unplaced = {}
         if not self._groups:
             self._waiting_since, self._held = {}, {}
--- a/galenarill/coordinator/tests/test_unexpected_errors.py
+++ b/galenarill/coordinator/tests/test_unexpected_errors.py
@@ -45,6 +45,15 @@
     assert simulation.all_completed()
 
 
+def test_tasks_of_a_failed_round_are_placed_later(simulation):
+    placer = simulation.leader._placer
+    placer._start = _FailsOnce(placer._start)
+    simulation.submit("j", count=3)
+    simulation.advance(6)
+    assert placer._start.calls > 1
+    assert simulation.all_completed()
+
+
 def test_leases_are_renewed_after_an_unexpected_error(simulation):
     monitor = simulation.leader._progress_monitor
     monitor.update_progress = _FailsOnce(monitor.update_progress)
