Log each attempt of an order on a machine with the budgets that it touches

Change: 'machine order sent' is logged before each attempt with its number, the time since the plan and the long-running tasks on the machine with the budgets of their steps at that moment; 'upkeep ordered' says whether it repeats an earlier intent; evictions are logged; the counter galenarill_machine_orders tells orders that disrupt. Budgets move to a module of their own. Result: no change of behaviour; tests of coordinator and waves pass.

--- /dev/null
+++ b/galenarill/coordinator/disruptions.py
@@ -0,0 +1,100 @@
+"""Disruption budgets of long-running steps."""
+
+from collections.abc import Iterable
+
+from galenarill.common import JobId, WorkerId
+from galenarill.coordinator.runs import Phase, TrackedRun
+from galenarill.coordinator.term import TermContext
+from galenarill.jobs import JobStatus
+from galenarill.maintenance_waves import DisruptionBudget
+
+__all__ = ["DisruptionMonitor"]
+
+StepKey = tuple[JobId, int, int]
+
+
+class DisruptionMonitor:
+    """Counts the tasks of long-running steps that serve."""
+
+    def __init__(self, context: TermContext):
+        """Create a monitor for the runs of `context`."""
+        self._context = context
+
+    def budgets(
+        self, leaving: frozenset[WorkerId] = frozenset()
+    ) -> dict[StepKey, DisruptionBudget]:
+        """Return the disruption budget of each long-running step.
+
+        Args:
+            leaving: Workers whose tasks already count as unavailable.
+        """
+        return {
+            step_key: budget
+            for job_id in self._context.runs.jobs
+            for step_key, budget in self._budgets_of(job_id, leaving).items()
+        }
+
+    def describe(self, runs: Iterable[TrackedRun]) -> list:
+        """Return the long-running tasks among `runs` for a log line.
+
+        Each entry has a task's name, the number of its run, how many tasks of
+        its step don't serve, and how many may not.
+        """
+        budgets: dict[StepKey, DisruptionBudget] = {}
+        described = []
+        for run in runs:
+            if not run.step.is_long_running:
+                continue
+            if run.step_key not in budgets:
+                budgets |= self._budgets_of(run.job, frozenset())
+            budget = budgets.get(run.step_key)
+            if budget is not None:
+                described.append(
+                    [
+                        run.name,
+                        run.number,
+                        budget.unavailable,
+                        budget.max_unavailable,
+                    ]
+                )
+        return described
+
+    def _budgets_of(
+        self, job_id: JobId, leaving: frozenset[WorkerId]
+    ) -> dict[StepKey, DisruptionBudget]:
+        job = self._context.state.jobs.get(job_id)
+        if (
+            job is None
+            or job.status is not JobStatus.ACTIVE
+            or not any(step.is_long_running for step in job.spec.steps)
+        ):
+            return {}
+        serving: dict[tuple[int, int], set] = {}
+        for run in self._context.runs.runs_of(job_id):
+            if (
+                run.step.is_long_running
+                and run.incarnation.worker not in leaving
+                and self._is_serving(run)
+            ):
+                members = serving.setdefault(run.key[:2], set())
+                members.add((run.key.index, run.member))
+        return {
+            (job_id, occurrence, number): DisruptionBudget(
+                step.max_unavailable,
+                step.count - len(serving.get((occurrence, number), ())),
+            )
+            for number, step in enumerate(job.spec.steps)
+            if step.is_long_running
+            for occurrence in range(job.spec.occurrences)
+        }
+
+    def _is_serving(self, run: TrackedRun) -> bool:
+        """Return whether a long-running task is confirmed to serve now."""
+        session = self._context.session_of(run)
+        return (
+            session is not None
+            and self._context.is_answering(session)
+            and run.phase is Phase.RUNNING
+            and run.row is not None
+            and run.row.percent >= 100
+        )
--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -15,11 +15,14 @@
     MachineState,
     MachineVerdict,
 )
+from galenarill.telemetry import meter
 
 __all__ = ["Fleet"]
 
 logger = logging.getLogger(__name__)
 
+_ATTEMPTS = meter().create_counter("galenarill_machine_orders")
+
 # Extra wait after the lease of another holder on a machine, in seconds.
 TAKEOVER_MARGIN_SECONDS = 0.3
 # Number of fencing tokens reserved for the orders of one term.
@@ -168,29 +171,41 @@
         self._moving.pop(machine, None)
 
     async def move(
-        self, machine: MachineId, pool: PoolId
+        self,
+        machine: MachineId,
+        pool: PoolId,
+        describe_disrupted: Callable[[], list] = list,
     ) -> tuple[MachineVerdict, bool]:
-        """Order a move; returns the same as `_order`."""
+        """Order a move; arguments and result are those of `_order`."""
         return await self._order(
             machine,
             MoveMachine(machine, pool, self._holder, 0.0),
             lambda token: self._client.move(machine, pool, self._holder, token),
+            describe_disrupted,
         )
 
     async def maintain(
-        self, machine: MachineId, wave: int
+        self,
+        machine: MachineId,
+        wave: int,
+        describe_disrupted: Callable[[], list] = list,
     ) -> tuple[MachineVerdict, bool]:
-        """Order maintenance; returns the same as `_order`."""
+        """Order maintenance; arguments and result are those of `_order`."""
         return await self._order(
             machine,
             OrderMaintenance(wave, machine, self._holder, 0.0),
             lambda token: self._client.maintain(
                 machine, wave, self._holder, token
             ),
+            describe_disrupted,
         )
 
     async def _order(
-        self, machine: MachineId, intent: OrderMaintenance | MoveMachine, call
+        self,
+        machine: MachineId,
+        intent: OrderMaintenance | MoveMachine,
+        call,
+        describe_disrupted: Callable[[], list],
     ) -> tuple[MachineVerdict, bool]:
         """Give an order, and retry it while it has no answer.
 
@@ -198,6 +213,8 @@
             machine: Id of the machine.
             intent: Command that is committed before each attempt.
             call: Sends the order with the given fencing token.
+            describe_disrupted: Describes the long-running tasks that the order
+                ends, for a log line at each attempt.
 
         Returns:
             The verdict, and whether it answers the first attempt. The answer
@@ -209,13 +226,20 @@
             return MachineVerdict.BUSY, False
         self._ordering.add(machine)
         try:
-            return await self._try_order(machine, intent, call)
+            return await self._try_order(
+                machine, intent, call, describe_disrupted
+            )
         finally:
             self._ordering.discard(machine)
 
     async def _try_order(
-        self, machine: MachineId, intent: OrderMaintenance | MoveMachine, call
+        self,
+        machine: MachineId,
+        intent: OrderMaintenance | MoveMachine,
+        call,
+        describe_disrupted: Callable[[], list],
     ) -> tuple[MachineVerdict, bool]:
+        planned_at = monotonic_now()
         tries = 0
         while True:
             await self._propose(msgspec.structs.replace(intent, at=wall_now()))
@@ -223,6 +247,19 @@
                 return MachineVerdict.BUSY, False
             tries += 1
             self._order_count += 1
+            disrupted = describe_disrupted()
+            _ATTEMPTS.add(1, {"disrupts": bool(disrupted)})
+            logger.info(
+                "machine order sent",
+                extra={
+                    "machine": machine,
+                    "attempt": tries,
+                    "planned_seconds_ago": round(
+                        monotonic_now() - planned_at, 3
+                    ),
+                    "disrupts": disrupted,
+                },
+            )
             verdict = await call(
                 self._term * ORDERS_PER_TERM + self._order_count
             )
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -8,12 +8,13 @@
 from galenarill.common import JobId, PoolId, WorkerId, monotonic_now, wall_now
 from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.crashes import CrashMonitor
+from galenarill.coordinator.disruptions import DisruptionMonitor
 from galenarill.coordinator.endings import RunEndCommitter
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.placing import Placer
 from galenarill.coordinator.progress import ProgressMonitor
 from galenarill.coordinator.renewals import LeaseRenewer
-from galenarill.coordinator.runs import Phase, RunIndex, TrackedRun
+from galenarill.coordinator.runs import Phase, RunIndex
 from galenarill.coordinator.term import TermContext
 from galenarill.coordinator.throttling import BestEffortThrottle
 from galenarill.jobs import (
@@ -24,9 +25,14 @@
     JobStatus,
     Step,
 )
-from galenarill.maintenance_waves import DisruptionBudget
 from galenarill.placement import estimated_seconds, objective_at
-from galenarill.pools import ARRIVAL_SECONDS, ArrivalRate, PoolLoad, Work
+from galenarill.pools import (
+    ARRIVAL_SECONDS,
+    ArrivalRate,
+    Machine,
+    PoolLoad,
+    Work,
+)
 from galenarill.routing import Resources
 from galenarill.telemetry import meter
 from galenarill.workers import (
@@ -104,6 +110,7 @@
         self._context = TermContext(
             term, state, client, propose, has_leader_lease, max_lease_seconds
         )
+        self._disruptions = DisruptionMonitor(self._context)
         self._progress_monitor = ProgressMonitor(self._context)
         self._crash_monitor = CrashMonitor(self._context)
         self._end_committer = RunEndCommitter(
@@ -277,10 +284,38 @@
     def evict(self, worker: WorkerId, step_key: tuple) -> None:
         """Stop one task of a step on a worker, to restart it elsewhere."""
         for run in self.runs.on_worker(worker):
-            if (run.job, run.key.occurrence, run.key.step) == step_key:
+            if run.step_key == step_key:
+                logger.info(
+                    "task evicted",
+                    extra={
+                        "task": run.name,
+                        "run": run.number,
+                        "worker": worker,
+                        "disrupts": self._disruptions.describe([run]),
+                    },
+                )
                 self._run_orders.request_stop(run)
                 return
 
+    def workers_on(self, machine: Machine) -> set[WorkerId]:
+        """Return the workers on a machine by its list and by their reports."""
+        workers = {
+            session.report.worker
+            for session in self.sessions.values()
+            if session.report.machine == machine.id
+        }
+        if machine.worker:
+            workers.add(machine.worker)
+        return workers
+
+    def describe_disrupted(self, machine: Machine) -> list:
+        """Describe the long-running tasks on a machine for a log line."""
+        return self._disruptions.describe(
+            run
+            for worker in self.workers_on(machine)
+            for run in self.runs.on_worker(worker)
+        )
+
     def unplaced_count(self, pool: PoolId) -> int:
         """Return the number of ready tasks of a pool without a worker."""
         return sum(
@@ -335,45 +370,10 @@
         for pool, load in loads.items():
             load.arriving = self._arrivals.capacity(pool, now)
 
-    def disruption_budgets(
-        self, leaving: frozenset[WorkerId] = frozenset()
-    ) -> dict[tuple, DisruptionBudget]:
-        """Return the disruption budget of each long-running step.
-
-        Args:
-            leaving: Workers whose tasks already count as unavailable.
-        """
-        steps: dict[tuple, DisruptionBudget] = {}
-        for job_id in self._active_jobs:
-            job = self._state.jobs[job_id]
-            if not any(step.is_long_running for step in job.spec.steps):
-                continue
-            present: dict[tuple[int, int], set] = {}
-            for run in self.runs.runs_of(job_id):
-                if run.incarnation.worker in leaving:
-                    continue
-                if run.step.is_long_running and self._is_serving(run):
-                    members = present.setdefault(run.key[:2], set())
-                    members.add((run.key.index, run.member))
-            for number, step in enumerate(job.spec.steps):
-                for occurrence in range(job.spec.occurrences):
-                    if step.is_long_running:
-                        serving = len(present.get((occurrence, number), ()))
-                        steps[job_id, occurrence, number] = DisruptionBudget(
-                            step.max_unavailable, step.count - serving
-                        )
-        return steps
-
-    def _is_serving(self, run: TrackedRun) -> bool:
-        """Return whether a long-running task is confirmed to serve now."""
-        session = self._context.session_of(run)
-        return (
-            session is not None
-            and self._context.is_answering(session)
-            and run.phase is Phase.RUNNING
-            and run.row is not None
-            and run.row.percent >= 100
-        )
+    @property
+    def disruptions(self) -> DisruptionMonitor:
+        """Monitor of the disruption budgets of long-running steps."""
+        return self._disruptions
 
     async def _tick(self) -> None:
         await asyncio.sleep(TICK_SECONDS)
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -256,7 +256,11 @@
                 # A start was proposed just before the worker was cordoned.
                 self._fleet.unmark_moving(machine.id)
                 return
-            verdict, is_first = await self._fleet.move(machine.id, pool)
+            verdict, is_first = await self._fleet.move(
+                machine.id,
+                pool,
+                lambda: self._leader.describe_disrupted(machine),
+            )
             logger.info(
                 "machine moved",
                 extra={
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -111,6 +111,11 @@
     machine: MachineId = NO_MACHINE
     is_sole_suspect: bool = False
 
+    @property
+    def step_key(self) -> tuple[JobId, int, int]:
+        """Job, occurrence and number of its step."""
+        return self.job, self.key.occurrence, self.key.step
+
     @property
     def is_start_known(self) -> bool:
         """Whether this leader sent its start order."""
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -158,7 +158,7 @@
     simulation.advance(2)
     step_key = ("j", 0, 0)
     assert (
-        simulation.call(simulation.leader.disruption_budgets)[
+        simulation.call(simulation.leader.disruptions.budgets)[
             step_key
         ].unavailable
         == 0
@@ -166,7 +166,7 @@
     simulation.network.cut.add("w0:1")
     simulation.advance(2.5)
     assert (
-        simulation.call(simulation.leader.disruption_budgets)[
+        simulation.call(simulation.leader.disruptions.budgets)[
             step_key
         ].unavailable
         == 1
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -255,7 +255,7 @@
         unavailable = [
             budget.unavailable
             for budget in simulation.call(
-                simulation.leader.disruption_budgets
+                simulation.leader.disruptions.budgets
             ).values()
         ]
         assert max(unavailable) <= 1
--- a/galenarill/coordinator/waves.py
+++ b/galenarill/coordinator/waves.py
@@ -115,7 +115,7 @@
         ]
         wave_plan = plan_wave(
             due_machines,
-            self._leader.disruption_budgets(
+            self._leader.disruptions.budgets(
                 frozenset(self._orders_in_flight.values())
             ),
             down,
@@ -148,7 +148,7 @@
         finite_runs = 0
         for run in self._leader.runs.on_worker(machine.worker):
             if run.step.is_long_running:
-                step_key = (run.job, run.key.occurrence, run.key.step)
+                step_key = run.step_key
                 long_running_tasks[step_key] = (
                     long_running_tasks.get(step_key, 0) + 1
                 )
@@ -182,7 +182,11 @@
         """
         incarnation = self._leader.incarnation_of(machine.worker)
         try:
-            verdict, is_first = await self._fleet.maintain(machine.id, number)
+            verdict, is_first = await self._fleet.maintain(
+                machine.id,
+                number,
+                lambda: self._leader.describe_disrupted(machine),
+            )
         finally:
             del self._orders_in_flight[machine.id]
             self._fleet.cordoned_since.pop(machine.id, None)
@@ -196,6 +200,7 @@
                 "pool": machine.pool,
                 "worker": machine.worker,
                 "verdict": verdict.value,
+                "repeated": is_repeated,
             },
         )
         if verdict is MachineVerdict.DONE:
