--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -2,155 +2,12 @@
 
 import asyncio
 
-import pytest
-
-from galenarill.coordinator.fleet import Fleet
-from galenarill.coordinator.machines import manage_machines
-from galenarill.coordinator.moves import PoolRebalancer
-from galenarill.coordinator.tests.simulation import Simulation
-from galenarill.coordinator.waves import WaveRunner
-from galenarill.jobs import JobStatus, OrderMaintenance, StartWave
-from galenarill.pools import (
-    Machine,
-    MachineClient,
-    MachineState,
-    MachineVerdict,
+from galenarill.coordinator.tests.machines import (
+    start_wave,
+    take_over,
 )
-from galenarill.routing import Resources
-
-
-class Machines(MachineClient):
-    """Machines that carry out orders at once and are then down for a time."""
-
-    def __init__(self, simulation, pools, down_seconds=2.0):
-        self.simulation = simulation
-        self.machines = {}
-        self.orders = []
-        self.maintained = set()
-        self.most_down = 0
-        self.answers = []
-        self.down_seconds = down_seconds
-        for name, pool in pools.items():
-            worker = "" if pool == "spare" else f"{name}-worker"
-            self.set(name, pool, MachineState.UP, worker)
-
-    def set(self, name, pool, state, worker):
-        self.machines[name] = Machine(
-            name, pool, state, "r1", "a", Resources(4, 1000), worker
-        )
-
-    async def list(self):
-        await asyncio.sleep(0.01)
-        return list(self.machines.values())
-
-    async def move(self, machine, pool, holder, token):
-        now = self.simulation.loop.time()
-        self.orders.append(("move", machine, pool, token, now))
-        return await self.carry_out(machine, pool, MachineState.MOVING)
-
-    async def maintain(self, machine, wave, holder, token):
-        now = self.simulation.loop.time()
-        self.orders.append(("maintain", machine, wave, token, now))
-        if machine in self.maintained:
-            return MachineVerdict.DONE
-        self.maintained.add(machine)
-        pool = self.machines[machine].pool
-        return await self.carry_out(machine, pool, MachineState.MAINTENANCE)
-
-    async def carry_out(self, machine, pool, state):
-        network = self.simulation.network
-        standin_worker = network.workers.get(
-            f"{self.machines[machine].worker}:1"
-        )
-        if standin_worker is not None:
-            standin_worker.crash()
-        self.set(machine, pool, state, "")
-        down = [
-            m
-            for m in self.machines.values()
-            if m.state is MachineState.MAINTENANCE
-        ]
-        self.most_down = max(self.most_down, len(down))
-        asyncio.get_running_loop().call_later(
-            self.down_seconds, self.come_back, machine, pool
-        )
-        await asyncio.sleep(0.01)
-        return self.answers.pop(0) if self.answers else MachineVerdict.DONE
-
-    def come_back(self, machine, pool):
-        worker = "" if pool == "spare" else f"{machine}-worker"
-        self.set(machine, pool, MachineState.UP, worker)
-        if worker:
-            self.simulation.report(
-                self.simulation.network.add(worker, pool, machine=machine)
-            )
-
-
-@pytest.fixture
-def make():
-    made = []
-
-    def build(pools, **options):
-        simulation = Simulation(workers=0, **options)
-        made.append(simulation)
-        machines = Machines(simulation, pools)
-
-        async def start():
-            for machine in machines.machines.values():
-                if machine.worker:
-                    simulation.report(
-                        simulation.network.add(
-                            machine.worker, machine.pool, machine=machine.id
-                        )
-                    )
-            start_machine_task(simulation, machines)
-
-        simulation.run(start())
-        return simulation, machines
-
-    yield build
-    for simulation in made:
-        simulation.close()
-
-
-def start_machine_task(simulation, machines):
-    term = simulation.term
-
-    def propose(*commands):
-        return simulation.propose(term, *commands)
-
-    fleet = Fleet(
-        term,
-        simulation.state,
-        machines,
-        propose,
-        lambda: simulation.term == term,
-        f"c{term}",
-        3.0,
-    )
-    leader, state = simulation.leader, simulation.state
-    simulation.fleet = fleet
-    simulation.machine_task = asyncio.ensure_future(
-        manage_machines(
-            fleet,
-            PoolRebalancer(leader, state, fleet),
-            WaveRunner(leader, state, fleet, propose),
-        )
-    )
-
-
-def start_wave(simulation, machines, max_machines_down, seconds=60.0):
-    simulation.call(
-        simulation.apply,
-        [
-            StartWave(
-                1,
-                tuple(machines),
-                max_machines_down,
-                simulation.loop.time() + seconds,
-            )
-        ],
-    )
+from galenarill.jobs import JobStatus, OrderMaintenance
+from galenarill.pools import MachineVerdict
 
 
 def test_machines_come_from_the_spare_pool_when_tasks_wait(make):
@@ -268,11 +125,10 @@
     simulation, machines = make(pools, seconds_of=lambda *_: (8.0, "done"))
     start_wave(simulation, ["n0"], max_machines_down=1)
     # The earlier leader ordered it and was lost after it was carried out.
-    machines.maintained.add("n0")
+    machines.carried_out.add(("n0", 1))
     simulation.call(simulation.apply, [OrderMaintenance(1, "n0", "c0", 0.0)])
     simulation.submit("j", count=8)
-    simulation.take_over()
-    simulation.run(restart_machine_task(simulation, machines))
+    take_over(simulation, machines)
     simulation.advance(20)
     assert ("maintain", "n0", 1) in [order[:3] for order in machines.orders]
     assert simulation.status("j") is JobStatus.COMPLETED
@@ -281,11 +137,6 @@
     simulation.check()
 
 
-async def restart_machine_task(simulation, machines):
-    simulation.machine_task.cancel()
-    start_machine_task(simulation, machines)
-
-
 def test_a_new_leader_waits_until_the_lease_on_a_machine_has_ended(make):
     pools = {f"m{n}": "spare" for n in range(9)} | {"n0": "pool"}
     simulation, machines = make(pools, seconds_of=lambda *_: (0.4, "done"))
@@ -296,8 +147,7 @@
     before = len(machines.orders)
     assert last
     # Nothing runs any more, so the next leader moves them to the spare pool.
-    simulation.take_over()
-    simulation.run(restart_machine_task(simulation, machines))
+    take_over(simulation, machines)
     simulation.advance(10)
     repeated = [o for o in machines.orders[before:] if o[1] in last]
     assert repeated, "no machine was wanted back: nothing is shown"
@@ -313,8 +163,7 @@
     ordered = {order[1] for order in machines.orders}
     before = len(machines.orders)
     assert ordered
-    simulation.take_over()
-    simulation.run(restart_machine_task(simulation, machines))
+    take_over(simulation, machines)
     simulation.submit("k", count=60)
     simulation.advance(1.5)
     assert {order[1] for order in machines.orders[before:]} - ordered
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -1,6 +1,7 @@
 """In-memory fake of workers, and of the network between them and a leader."""
 
 import asyncio
+import contextvars
 import dataclasses
 import random
 
@@ -29,6 +30,9 @@
 # Time for which an earlier, larger capacity may still be used, in seconds.
 SHRINK_GRACE_SECONDS = 4.5
 
+# Whether the order that is being executed was delayed on its way.
+_IS_LATE = contextvars.ContextVar("is_late", default=False)
+
 
 @dataclasses.dataclass(slots=True)
 class RunRecord:
@@ -70,6 +74,8 @@
         tail_latency_ms: Tail latency that every task reports, in milliseconds.
         throttle_orders: Task and speed in percent of each throttling order.
         guards_capacity: Whether it refuses starts beyond its capacity.
+        startup_seconds: Time from the start of a long-running task until it
+            serves.
         has_crashed: Set when it crashes.
     """
 
@@ -81,6 +87,7 @@
         clock_rate: float,
         crash_delay_of=None,
         on_crash=None,
+        on_stop=None,
     ):
         """Create a worker without running tasks.
 
@@ -93,6 +100,8 @@
             crash_delay_of: Function of a task that returns after how many
                 seconds its run crashes the worker, or None if it doesn't.
             on_crash: Called with the records of the runs lost in a crash.
+            on_stop: Called when a stop takes effect with the record of the
+                run, and whether the order was delayed.
         """
         self.report = report
         self.is_alive = True
@@ -101,10 +110,12 @@
         self.tail_latency_ms = 0.0
         self.throttle_orders: list[tuple[str, int]] = []
         self.guards_capacity = True
+        self.startup_seconds = 0.0
         # Until when the worker had each earlier capacity.
         self._earlier_capacities: list[tuple[float, int]] = []
         self.has_crashed = asyncio.Event()
         self._on_crash = on_crash or (lambda lost: None)
+        self._on_stop = on_stop or (lambda record, is_late: None)
         self._crash_delay_of = crash_delay_of or (lambda task: None)
         self._simulate_run = seconds_of
         self._history = history
@@ -133,6 +144,15 @@
         """Resources in use; each run takes one thousandth of a core."""
         return Resources(len(self._running))
 
+    @property
+    def records(self) -> list[RunRecord]:
+        """Records of the runs in progress, without those being stopped."""
+        return [
+            record
+            for task, (record, _) in self._running.items()
+            if task not in self._stopping
+        ]
+
     def crash(self) -> None:
         """Crash: all runs end, and no end is reported to the leader."""
         self.is_alive = False
@@ -235,6 +255,7 @@
             and current[0].run <= run
             and task not in self._stopping
         ):
+            self._on_stop(current[0], _IS_LATE.get())
             self._stopping.add(task)
             current[1].cancel()
             timer = self._loop.call_later(
@@ -294,7 +315,8 @@
             return 0.0
         seconds, _ = self._simulate_run(record.task, record.run)
         if seconds >= LONG_RUNNING_SECONDS:
-            return 100.0
+            serves_at = record.begun_at + self.startup_seconds
+            return 100.0 if self._loop.time() >= serves_at else 50.0
         seconds *= self.slowdown_factor
         return 100 * (self._loop.time() - record.begun_at) / seconds
 
@@ -347,6 +369,10 @@
         gangs: Steps whose tasks form a gang, as `job.occurrence.step`.
         resets_connections: Whether the operating system of a crashed worker
             resets its connections. Otherwise calls to it time out.
+        startup_seconds: Time from the start of a long-running task until it
+            serves, on workers added from then on.
+        on_stop: Called when a stop takes effect with the record of the run,
+            and whether the order was delayed; or None.
     """
 
     def __init__(self, seed: int = 0, seconds_of=None):
@@ -367,6 +393,8 @@
         self.crash_delays: dict[str, float | tuple[float, float]] = {}
         self.gangs: set[str] = set()
         self.resets_connections = False
+        self.startup_seconds = 0.0
+        self.on_stop = None
         self._rng = random.Random(seed)
         self._simulate_run = seconds_of or (lambda task, run: (1.0, "done"))
         self._loop = asyncio.get_running_loop()
@@ -401,16 +429,23 @@
             Resources(max_tasks, 1000, 0),
         )
         clock_rate = self._rng.choice([1.0, 0.98])
-        self.workers[address] = FakeWorker(
+        worker = FakeWorker(
             report,
             self._simulate_run,
             self.history,
             clock_rate,
             self._crash_delay,
             self._break_gangs,
+            self._note_stop,
         )
+        worker.startup_seconds = self.startup_seconds
+        self.workers[address] = worker
         return report
 
+    def _note_stop(self, record: RunRecord, is_late: bool) -> None:
+        if self.on_stop is not None:
+            self.on_stop(record, is_late)
+
     def _crash_delay(self, task: str) -> float | None:
         """Return after how many seconds a run crashes its worker, or None."""
         delay = self.crash_delays.get(task)
@@ -497,6 +532,7 @@
 
     def _execute_late(self, incarnation: FakeWorker, execute) -> None:
         async def run():
+            _IS_LATE.set(True)
             await asyncio.sleep(self._rng.uniform(1, 8))
             if incarnation.is_alive:
                 await execute(incarnation)
