Check disruption budgets right before each attempt of an order on a machine

Callers saw two tasks of a long-running step away though one may be (AVAIL). Cause: the budget was asked when an upkeep was planned, before the commit of its intent and any number of attempts; a repeated upkeep asked none at all, moves asked for an idle worker before their commit, and both looked only at the worker that the machine list named, which may be the one before. Change: a guard is asked after the commit, before each attempt; an order that may not end its runs is deferred and planned again. Repeats take the same path as first orders. The runs of all workers that report the machine count. Cordons are kept by machine and reason, so that the end of one order no longer lifts the cordon of another.

--- a/galenarill/coordinator/disruptions.py
+++ b/galenarill/coordinator/disruptions.py
@@ -1,6 +1,6 @@
 """Disruption budgets of long-running steps."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from galenarill.common import JobId, WorkerId
 from galenarill.coordinator.runs import Phase, TrackedRun
@@ -59,6 +59,24 @@
                 )
         return described
 
+    def allows_end_of(self, runs: Collection[TrackedRun]) -> bool:
+        """Return whether an order may end some runs now.
+
+        They count as unavailable already: the tasks of their steps that serve
+        on other workers have to be enough.
+        """
+        leaving = frozenset(run.incarnation.worker for run in runs)
+        lasting = [run for run in runs if run.step.is_long_running]
+        budgets: dict[StepKey, DisruptionBudget] = {}
+        for job_id in {run.job for run in lasting}:
+            budgets |= self._budgets_of(job_id, leaving)
+        return all(
+            budgets[run.step_key].allows(0)
+            for run in lasting
+            # The runs of a job that has ended may end at any time.
+            if run.step_key in budgets
+        )
+
     def _budgets_of(
         self, job_id: JobId, leaving: frozenset[WorkerId]
     ) -> dict[StepKey, DisruptionBudget]:
@@ -74,7 +92,7 @@
             if (
                 run.step.is_long_running
                 and run.incarnation.worker not in leaving
-                and self._is_serving(run)
+                and self.is_serving(run)
             ):
                 members = serving.setdefault(run.key[:2], set())
                 members.add((run.key.index, run.member))
@@ -88,7 +106,7 @@
             for occurrence in range(job.spec.occurrences)
         }
 
-    def _is_serving(self, run: TrackedRun) -> bool:
+    def is_serving(self, run: TrackedRun) -> bool:
         """Return whether a long-running task is confirmed to serve now."""
         session = self._context.session_of(run)
         return (
--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from galenarill.common import MachineId, PoolId, monotonic_now, wall_now
+from galenarill.coordinator.guards import OrderGuard
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import ClusterState, MoveMachine, OrderMaintenance
 from galenarill.pools import (
@@ -22,6 +23,7 @@
 logger = logging.getLogger(__name__)
 
 _ATTEMPTS = meter().create_counter("galenarill_machine_orders")
+_DEFERRED = meter().create_counter("galenarill_machine_orders_deferred")
 
 # Extra wait after the lease of another holder on a machine, in seconds.
 TAKEOVER_MARGIN_SECONDS = 0.3
@@ -140,12 +142,17 @@
 
     def is_orderable(self, machine: Machine) -> bool:
         """Return whether an order on a machine can be given now."""
+        return machine.state is MachineState.UP and self.may_repeat_order(
+            machine.id
+        )
+
+    def may_repeat_order(self, machine: MachineId) -> bool:
+        """Return whether an earlier order on a machine can be repeated now."""
         return (
-            machine.state is MachineState.UP
-            and self.has_no_foreign_lease(machine.id)
-            and machine.id not in self._moving
-            and machine.id not in self._ordering
-            and not self.is_busy(machine.id)
+            self.has_no_foreign_lease(machine)
+            and machine not in self._moving
+            and machine not in self._ordering
+            and not self.is_busy(machine)
         )
 
     def is_busy(self, machine: MachineId) -> bool:
@@ -174,21 +181,21 @@
         self,
         machine: MachineId,
         pool: PoolId,
-        describe_disrupted: Callable[[], list] = list,
+        guard: OrderGuard,
     ) -> tuple[MachineVerdict, bool]:
         """Order a move; arguments and result are those of `_order`."""
         return await self._order(
             machine,
             MoveMachine(machine, pool, self._holder, 0.0),
             lambda token: self._client.move(machine, pool, self._holder, token),
-            describe_disrupted,
+            guard,
         )
 
     async def maintain(
         self,
         machine: MachineId,
         wave: int,
-        describe_disrupted: Callable[[], list] = list,
+        guard: OrderGuard,
     ) -> tuple[MachineVerdict, bool]:
         """Order maintenance; arguments and result are those of `_order`."""
         return await self._order(
@@ -197,7 +204,7 @@
             lambda token: self._client.maintain(
                 machine, wave, self._holder, token
             ),
-            describe_disrupted,
+            guard,
         )
 
     async def _order(
@@ -205,7 +212,7 @@
         machine: MachineId,
         intent: OrderMaintenance | MoveMachine,
         call,
-        describe_disrupted: Callable[[], list],
+        guard: OrderGuard,
     ) -> tuple[MachineVerdict, bool]:
         """Give an order, and retry it while it has no answer.
 
@@ -213,22 +220,20 @@
             machine: Id of the machine.
             intent: Command that is committed before each attempt.
             call: Sends the order with the given fencing token.
-            describe_disrupted: Describes the long-running tasks that the order
-                ends, for a log line at each attempt.
+            guard: Decides right before each attempt whether to send it.
 
         Returns:
             The verdict, and whether it answers the first attempt. The answer
             to a later attempt may be about the first one, which was carried
             out before the machine's next worker started. The verdict is BUSY
-            if the machine already has an order in flight.
+            if the machine already has an order in flight, and DEFERRED if
+            the guard doesn't allow it.
         """
         if machine in self._ordering:
             return MachineVerdict.BUSY, False
         self._ordering.add(machine)
         try:
-            return await self._try_order(
-                machine, intent, call, describe_disrupted
-            )
+            return await self._try_order(machine, intent, call, guard)
         finally:
             self._ordering.discard(machine)
 
@@ -237,29 +242,26 @@
         machine: MachineId,
         intent: OrderMaintenance | MoveMachine,
         call,
-        describe_disrupted: Callable[[], list],
+        guard: OrderGuard,
     ) -> tuple[MachineVerdict, bool]:
         planned_at = monotonic_now()
+        # Time until which an unanswered attempt may still be carried out.
+        open_until = float("-inf")
         tries = 0
         while True:
             await self._propose(msgspec.structs.replace(intent, at=wall_now()))
             if not self.may_order:
                 return MachineVerdict.BUSY, False
+            if not guard.allows():
+                if monotonic_now() < open_until:
+                    # The machine stays reserved for the order meanwhile.
+                    await asyncio.sleep(RETRY_SECONDS)
+                    continue
+                self._log_deferred(machine, tries, guard)
+                return MachineVerdict.DEFERRED, False
             tries += 1
             self._order_count += 1
-            disrupted = describe_disrupted()
-            _ATTEMPTS.add(1, {"disrupts": bool(disrupted)})
-            logger.info(
-                "machine order sent",
-                extra={
-                    "machine": machine,
-                    "attempt": tries,
-                    "planned_seconds_ago": round(
-                        monotonic_now() - planned_at, 3
-                    ),
-                    "disrupts": disrupted,
-                },
-            )
+            self._log_attempt(machine, tries, planned_at, guard)
             verdict = await call(
                 self._term * ORDERS_PER_TERM + self._order_count
             )
@@ -268,6 +270,8 @@
                 logger.warning(
                     "fenced by another holder", extra={"machine": machine}
                 )
+            if verdict is MachineVerdict.NO_ANSWER:
+                open_until = monotonic_now() + self._lease_seconds
             if verdict in (
                 MachineVerdict.NO_ANSWER,
                 MachineVerdict.RATE_LIMITED,
@@ -280,6 +284,38 @@
                 )
             return verdict, tries == 1
 
+    def _log_attempt(
+        self,
+        machine: MachineId,
+        attempt: int,
+        planned_at: float,
+        guard: OrderGuard,
+    ) -> None:
+        disrupted = guard.describe_disrupted()
+        _ATTEMPTS.add(1, {"disrupts": bool(disrupted)})
+        logger.info(
+            "machine order sent",
+            extra={
+                "machine": machine,
+                "attempt": attempt,
+                "planned_seconds_ago": round(monotonic_now() - planned_at, 3),
+                "disrupts": disrupted,
+            },
+        )
+
+    def _log_deferred(
+        self, machine: MachineId, attempts: int, guard: OrderGuard
+    ) -> None:
+        _DEFERRED.add(1)
+        logger.info(
+            "machine order deferred",
+            extra={
+                "machine": machine,
+                "attempts": attempts,
+                "disrupts": guard.describe_disrupted(),
+            },
+        )
+
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -5,8 +5,16 @@
 import math
 from collections.abc import Callable
 
-from galenarill.common import JobId, PoolId, WorkerId, monotonic_now, wall_now
+from galenarill.common import (
+    JobId,
+    MachineId,
+    PoolId,
+    WorkerId,
+    monotonic_now,
+    wall_now,
+)
 from galenarill.coordinator.advisor import Advisor
+from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.crashes import CrashMonitor
 from galenarill.coordinator.disruptions import DisruptionMonitor
 from galenarill.coordinator.endings import RunEndCommitter
@@ -14,7 +22,7 @@
 from galenarill.coordinator.placing import Placer
 from galenarill.coordinator.progress import ProgressMonitor
 from galenarill.coordinator.renewals import LeaseRenewer
-from galenarill.coordinator.runs import Phase, RunIndex
+from galenarill.coordinator.runs import Phase, RunIndex, TrackedRun
 from galenarill.coordinator.term import TermContext
 from galenarill.coordinator.throttling import BestEffortThrottle
 from galenarill.jobs import (
@@ -251,13 +259,17 @@
         session = self.sessions.get(worker)
         return session is not None and self._context.is_answering(session)
 
-    def cordon(self, worker: WorkerId) -> None:
-        """Exclude a worker from new starts."""
-        self._placer.cordon(worker)
+    def is_starting_on(self, worker: WorkerId) -> bool:
+        """Return whether a start on a worker is being proposed."""
+        return self._placer.is_proposed_on(worker)
+
+    def cordon(self, machine: MachineId, reason: CordonReason) -> None:
+        """Exclude a machine from new starts."""
+        self._placer.cordon(machine, reason)
 
-    def uncordon(self, worker: WorkerId) -> None:
-        """Allow new starts on a worker again."""
-        self._placer.uncordon(worker)
+    def uncordon(self, machine: MachineId, reason: CordonReason) -> None:
+        """Remove a reason for which a machine is excluded from new starts."""
+        self._placer.uncordon(machine, reason)
 
     def incarnation_of(self, worker: WorkerId) -> Incarnation | None:
         """Return the current incarnation of a worker, or None."""
@@ -298,7 +310,10 @@
                 return
 
     def workers_on(self, machine: Machine) -> set[WorkerId]:
-        """Return the workers on a machine by its list and by their reports."""
+        """Return the workers on a machine by its list and by their reports.
+
+        The list may still name the worker before the current one.
+        """
         workers = {
             session.report.worker
             for session in self.sessions.values()
@@ -308,13 +323,13 @@
             workers.add(machine.worker)
         return workers
 
-    def describe_disrupted(self, machine: Machine) -> list:
-        """Describe the long-running tasks on a machine for a log line."""
-        return self._disruptions.describe(
+    def runs_on(self, machine: Machine) -> list[TrackedRun]:
+        """Return the runs on all workers of a machine."""
+        return [
             run
             for worker in self.workers_on(machine)
             for run in self.runs.on_worker(worker)
-        )
+        ]
 
     def unplaced_count(self, pool: PoolId) -> int:
         """Return the number of ready tasks of a pool without a worker."""
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -5,7 +5,9 @@
 import math
 
 from galenarill.common import MachineId, PoolId, WorkerId, monotonic_now
+from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.fleet import Fleet
+from galenarill.coordinator.guards import IdleGuard
 from galenarill.coordinator.leader import Leader
 from galenarill.jobs import ClusterState
 from galenarill.pools import (
@@ -67,8 +69,8 @@
         self._idle_since: dict[WorkerId, float] = {}
         # Since when a machine that should serve has no worker that answers.
         self._silent_since: dict[MachineId, float] = {}
-        # Worker of each machine that gets no more tasks, to be moved when idle.
-        self._releasing: dict[MachineId, WorkerId] = {}
+        # Machines that get no more tasks, to be moved when idle.
+        self._releasing: frozenset[MachineId] = frozenset()
         # Kinds of machine that the platform refuses to move to a pool.
         self._refused_kinds: set[tuple[str, PoolId]] = set()
         # Since when each pool has had tasks without a worker.
@@ -96,24 +98,18 @@
 
     def _release(self, releasing: frozenset[MachineId]) -> None:
         """Cordon the machines to release, and uncordon those no longer so."""
-        for machine_id in self._releasing.keys() - releasing:
-            worker = self._releasing.pop(machine_id)
-            if not (
-                self._fleet.is_moving(machine_id)
-                or machine_id in self._fleet.cordoned_since
-            ):
-                self._leader.uncordon(worker)
-        for machine_id in releasing - self._releasing.keys():
-            worker = self._fleet.machines[machine_id].worker
-            self._releasing[machine_id] = worker
-            self._leader.cordon(worker)
+        for machine_id in self._releasing - releasing:
+            self._leader.uncordon(machine_id, CordonReason.RELEASE)
+        for machine_id in releasing - self._releasing:
+            self._leader.cordon(machine_id, CordonReason.RELEASE)
+        self._releasing = releasing
 
     def _update_idle_since(self, now: float) -> None:
-        for worker in self._leader.sessions:
-            if self._leader.is_idle(worker):
-                self._idle_since.setdefault(worker, now)
-            else:
-                self._idle_since.pop(worker, None)
+        self._idle_since = {
+            worker: self._idle_since.get(worker, now)
+            for worker in self._leader.sessions
+            if self._leader.is_idle(worker)
+        }
 
     def _update_silent_since(self, now: float) -> None:
         spare_pools = {
@@ -244,23 +240,19 @@
     def _start_move(self, move: Move) -> None:
         machine = self._fleet.machines[move.machine]
         self._fleet.mark_moving(machine.id, move.pool)
-        if machine.worker:
-            self._leader.cordon(machine.worker)
+        self._leader.cordon(machine.id, CordonReason.MOVE)
         self._fleet.spawn(self._move(machine, move.pool))
 
     async def _move(self, machine: Machine, pool: PoolId) -> None:
         worker = machine.worker
         incarnation = self._leader.incarnation_of(worker)
         try:
-            if worker and not self._leader.is_idle(worker):
-                # A start was proposed just before the worker was cordoned.
+            guard = IdleGuard(self._leader, machine)
+            if not guard.allows():
+                # A start was proposed just before the machine was cordoned.
                 self._fleet.unmark_moving(machine.id)
                 return
-            verdict, is_first = await self._fleet.move(
-                machine.id,
-                pool,
-                lambda: self._leader.describe_disrupted(machine),
-            )
+            verdict, is_first = await self._fleet.move(machine.id, pool, guard)
             logger.info(
                 "machine moved",
                 extra={
@@ -282,5 +274,4 @@
             if verdict is MachineVerdict.INVALID:
                 self._refused_kinds.add((machine.kind, pool))
         finally:
-            if worker:
-                self._leader.uncordon(worker)
+            self._leader.uncordon(machine.id, CordonReason.MOVE)
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -9,6 +9,7 @@
 
 from galenarill.common import (
     JobId,
+    MachineId,
     PoolId,
     TeamId,
     WorkerId,
@@ -16,6 +17,7 @@
     wall_now,
 )
 from galenarill.coordinator.advisor import Advisor
+from galenarill.coordinator.cordons import CordonReason, Cordons
 from galenarill.coordinator.crashes import CrashMonitor
 from galenarill.coordinator.holding import WorkerHolds
 from galenarill.coordinator.orders import RunOrders
@@ -128,7 +130,7 @@
         self._proposed_by_worker: collections.Counter[WorkerId] = (
             collections.Counter()
         )
-        self._cordoned: set[WorkerId] = set()
+        self._cordons = Cordons()
         # Tasks that found no worker in the latest round, by pool.
         self.unplaced: dict[PoolId, list[UnplacedTasks]] = {}
 
@@ -145,13 +147,13 @@
                 raise
         await asyncio.sleep(PLACEMENT_PAUSE_SECONDS)
 
-    def cordon(self, worker: WorkerId) -> None:
-        """Exclude a worker from new starts."""
-        self._cordoned.add(worker)
+    def cordon(self, machine: MachineId, reason: CordonReason) -> None:
+        """Exclude a machine from new starts."""
+        self._cordons.add(machine, reason)
 
-    def uncordon(self, worker: WorkerId) -> None:
-        """Allow new starts on a worker again."""
-        self._cordoned.discard(worker)
+    def uncordon(self, machine: MachineId, reason: CordonReason) -> None:
+        """Remove a reason for which a machine is excluded from new starts."""
+        self._cordons.remove(machine, reason)
         self._context.wake.set()
 
     def is_proposed_on(self, worker: WorkerId) -> bool:
@@ -461,7 +463,7 @@
             and not session.is_provisional
             and session.answered_at > now - ANSWER_SECONDS
             and not self._context.is_draining(session)
-            and report.worker not in self._cordoned
+            and report.machine not in self._cordons
             and not self._run_orders.has_recently_refused(report.worker, now)
         )
 
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from galenarill.coordinator.guards import IdleGuard
 from galenarill.coordinator.tests.machines import (
     start_wave,
     take_over,
@@ -80,9 +81,18 @@
     async def order_twice():
         fleet = simulation.fleet
         return await asyncio.gather(
-            fleet.move("n0", "pool"),
-            fleet.move("n0", "spare"),
-            fleet.move("n1", "pool"),
+            *(
+                fleet.move(
+                    name,
+                    pool,
+                    IdleGuard(simulation.leader, machines.machines[name]),
+                )
+                for name, pool in (
+                    ("n0", "pool"),
+                    ("n0", "spare"),
+                    ("n1", "pool"),
+                )
+            )
         )
 
     simulation.advance(0.5)
--- a/galenarill/coordinator/waves.py
+++ b/galenarill/coordinator/waves.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 
 from galenarill.common import MachineId, WorkerId, monotonic_now, wall_now
+from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.fleet import Fleet
+from galenarill.coordinator.guards import BudgetGuard
 from galenarill.coordinator.leader import Leader
 from galenarill.jobs import ClusterState, FinishMaintenance, Wave
 from galenarill.maintenance_waves import DueMachine, plan_wave
@@ -60,7 +62,6 @@
         for number, wave in self._state.waves.items():
             if not wave.is_completed and self._fleet.machines:
                 self._finish_returned(number, wave)
-                self._repeat_orders(number, wave)
                 self._order_due(number, wave)
 
     def _finish_returned(self, number: int, wave: Wave) -> None:
@@ -89,29 +90,17 @@
         self._finished.add((number, machine))
         self._acknowledged_at.pop(machine, None)
         self._fleet.cordoned_since.pop(machine, None)
+        self._leader.uncordon(machine, CordonReason.MAINTENANCE)
         self._propose(FinishMaintenance(number, machine))
 
-    def _repeat_orders(self, number: int, wave: Wave) -> None:
-        """Repeat orders that were refused or sent by an earlier leader."""
-        for machine_id in wave.ordered:
-            machine = self._fleet.machines.get(machine_id)
-            if (
-                machine is not None
-                and not self._is_finished(number, wave, machine_id)
-                and machine_id not in self._acknowledged_at
-                and machine_id not in self._orders_in_flight
-                and self._fleet.has_no_foreign_lease(machine_id)
-                and not self._fleet.is_busy(machine_id)
-            ):
-                self._start_order(number, machine, is_repeated=True)
-
     def _order_due(self, number: int, wave: Wave) -> None:
         pending = wave.ordered.keys() - wave.finished
         down = len(pending | self._orders_in_flight.keys() & set(wave.machines))
         due_machines = [
             due_machine
             for machine_id in wave.machines
-            if (due_machine := self._due_machine(wave, machine_id)) is not None
+            if (due_machine := self._due_machine(number, wave, machine_id))
+            is not None
         ]
         wave_plan = plan_wave(
             due_machines,
@@ -126,41 +115,59 @@
         machines = self._fleet.machines
         for machine_id in wave_plan.to_cordon + wave_plan.to_maintain:
             self._fleet.cordoned_since.setdefault(machine_id, wall_now())
-            self._leader.cordon(machines[machine_id].worker)
+            self._leader.cordon(machine_id, CordonReason.MAINTENANCE)
         for machine_id, step_key in wave_plan.evict:
             self._leader.evict(machines[machine_id].worker, step_key)
         for machine_id in wave_plan.to_maintain:
-            self._start_order(number, machines[machine_id], is_repeated=False)
+            self._start_order(
+                number,
+                machines[machine_id],
+                is_repeated=machine_id in wave.ordered,
+            )
 
     def _due_machine(
-        self, wave: Wave, machine_id: MachineId
+        self, number: int, wave: Wave, machine_id: MachineId
     ) -> DueMachine | None:
+        """Return a machine that may be ordered now, or None.
+
+        An order that was refused or deferred, or sent by an earlier leader, is
+        repeated: it may never have been carried out.
+        """
         machine = self._fleet.machines.get(machine_id)
+        is_ordered = machine_id in wave.ordered
         if (
             machine is None
-            or not self._fleet.is_orderable(machine)
-            or machine_id in wave.ordered
-            or machine_id in wave.finished
+            or self._is_finished(number, wave, machine_id)
             or machine_id in self._orders_in_flight
+            or machine_id in self._acknowledged_at
         ):
             return None
-        long_running_tasks: dict = {}
+        if is_ordered:
+            if not self._fleet.may_repeat_order(machine_id):
+                return None
+        elif not self._fleet.is_orderable(machine):
+            return None
+        serving: dict = {}
         finite_runs = 0
-        for run in self._leader.runs.on_worker(machine.worker):
+        for run in self._leader.runs_on(machine):
             if run.step.is_long_running:
-                step_key = run.step_key
-                long_running_tasks[step_key] = (
-                    long_running_tasks.get(step_key, 0) + 1
+                serving.setdefault(run.step_key, 0)
+                serving[run.step_key] += self._leader.disruptions.is_serving(
+                    run
                 )
             else:
                 finite_runs += 1
         return DueMachine(
             machine_id,
-            self._leader.is_idle(machine.worker),
+            all(
+                self._leader.is_idle(worker)
+                for worker in self._leader.workers_on(machine)
+            ),
             finite_runs,
-            long_running_tasks,
+            serving,
             self._fleet.cordoned_since.get(machine_id),
             self._leader.unplaced_count(machine.pool) > 0,
+            is_ordered,
         )
 
     def _start_order(
@@ -185,13 +192,12 @@
             verdict, is_first = await self._fleet.maintain(
                 machine.id,
                 number,
-                lambda: self._leader.describe_disrupted(machine),
+                BudgetGuard(self._leader, machine),
             )
         finally:
             del self._orders_in_flight[machine.id]
             self._fleet.cordoned_since.pop(machine.id, None)
-            if machine.worker:
-                self._leader.uncordon(machine.worker)
+            self._leader.uncordon(machine.id, CordonReason.MAINTENANCE)
         logger.info(
             "upkeep ordered",
             extra={
--- a/galenarill/maintenance_waves/plan.py
+++ b/galenarill/maintenance_waves/plan.py
@@ -47,10 +47,13 @@
         machine: Machine.
         is_idle: Whether it has no runs.
         finite_runs: Number of its runs that end by themselves.
-        long_running_tasks: Number of its long-running tasks by step.
+        long_running_tasks: Number of its long-running tasks that serve, by
+            step. A step none of whose tasks serves has the number 0.
         cordoned_since: When it was cordoned, or None. A cordoned machine gets
             no new tasks.
         is_pool_short: Whether its pool is short of machines.
+        is_ordered: Whether its maintenance was ordered already. It most likely
+            began, so that the order only has to be confirmed.
     """
 
     machine: MachineId
@@ -59,6 +62,7 @@
     long_running_tasks: dict[StepKey, int]
     cordoned_since: float | None
     is_pool_short: bool
+    is_ordered: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,7 +96,8 @@
     Idle machines are maintained first. Other machines are cordoned, and their
     maintenance starts once all their remaining tasks may be interrupted. Finite
     runs are interrupted only to meet the deadline, and only on a machine that
-    has been cordoned for `CORDON_SECONDS`.
+    has been cordoned for `CORDON_SECONDS`. A machine that was ordered already
+    counts as down, and is ordered again without regard to its finite runs.
 
     Args:
         due_machines: Machines that are due and accept an order.
@@ -108,24 +113,16 @@
     is_urgent = _is_urgent(len(due_machines), max_machines_down, now, deadline)
     free_slots = max_machines_down - down
     for due_machine in due_machines:
-        if free_slots <= 0:
-            break
-        if (
-            due_machine.is_pool_short
-            and due_machine.finite_runs
-            and not is_urgent
-        ):
-            continue
-        has_waited = (
-            due_machine.cordoned_since is not None
-            and now >= due_machine.cordoned_since + CORDON_SECONDS
-        )
-        if due_machine.finite_runs and not (has_waited and is_urgent):
-            if due_machine.cordoned_since is None:
-                plan.to_cordon.append(due_machine.machine)
+        if not due_machine.is_ordered:
+            if free_slots <= 0:
+                break
+            if _waits_for_finite_runs(due_machine, now, is_urgent):
+                if not due_machine.is_pool_short or is_urgent:
+                    free_slots -= 1
+                    if due_machine.cordoned_since is None:
+                        plan.to_cordon.append(due_machine.machine)
+                continue
             free_slots -= 1
-            continue
-        free_slots -= 1
         if all(
             steps[step].allows(count)
             for step, count in due_machine.long_running_tasks.items()
@@ -143,8 +140,21 @@
     return plan
 
 
+def _waits_for_finite_runs(
+    due_machine: DueMachine, now: float, is_urgent: bool
+) -> bool:
+    if not due_machine.finite_runs:
+        return False
+    return not (
+        is_urgent
+        and due_machine.cordoned_since is not None
+        and now >= due_machine.cordoned_since + CORDON_SECONDS
+    )
+
+
 def _maintenance_order(due_machine: DueMachine) -> tuple:
     return (
+        not due_machine.is_ordered,
         due_machine.cordoned_since is None and not due_machine.is_idle,
         not due_machine.is_idle,
         due_machine.is_pool_short,
--- a/galenarill/pools/machines.py
+++ b/galenarill/pools/machines.py
@@ -67,6 +67,8 @@
     RATE_LIMITED = "throttled"
     # No answer: the order may already have taken effect, or may do so later.
     NO_ANSWER = "no answer"
+    # Not sent, because it would have ended runs that may not end now.
+    DEFERRED = "deferred"
 
 
 class MachineClient(abc.ABC):
