Count tasks as away while an order may still end them

Callers saw a second upkeep end a task while the first one's were still thought to serve. Cause: a task counted as serving by a row of up to 2 s ago and whatever was ordered since: after a repeated order or a later attempt the ended worker kept its session until renewals failed, a new leader knew nothing of the orders and stops that the earlier one had sent, and an end being committed wasn't looked at. Change: the fleet tells until when an order on a machine may still be carried out: while it is in flight, and without an answer, or for an earlier term, until its holder's lease ends. A task serves only if a list requested after that moment, and after any stop of an earlier leader, shows it.

--- a/galenarill/coordinator/disruptions.py
+++ b/galenarill/coordinator/disruptions.py
@@ -1,24 +1,55 @@
 """Disruption budgets of long-running steps."""
 
-from collections.abc import Collection, Iterable
+import abc
+from collections.abc import Callable, Collection, Iterable
 
-from galenarill.common import JobId, WorkerId
+from galenarill.common import JobId, MachineId, WorkerId, monotonic_now
 from galenarill.coordinator.runs import Phase, TrackedRun
-from galenarill.coordinator.term import TermContext
+from galenarill.coordinator.term import ANSWER_SECONDS, TermContext
 from galenarill.jobs import JobStatus
 from galenarill.maintenance_waves import DisruptionBudget
 
-__all__ = ["DisruptionMonitor"]
+__all__ = ["DisruptionMonitor", "MachineOrders"]
+
+# Time that a worker takes to stop a run, in seconds. An earlier leader may have
+# ordered a stop just before this one first heard of the worker.
+STOP_SECONDS = 1.0
 
 StepKey = tuple[JobId, int, int]
 
 
+class MachineOrders(abc.ABC):
+    """What is known of the outcome of orders on machines."""
+
+    @abc.abstractmethod
+    def unsettled_until(self, machine: MachineId) -> float:
+        """Return until when an order on a machine may still be carried out.
+
+        Returns:
+            Time on the monotonic clock: infinity while an order is in flight,
+            negative infinity if no order is known.
+        """
+
+
 class DisruptionMonitor:
     """Counts the tasks of long-running steps that serve."""
 
-    def __init__(self, context: TermContext):
-        """Create a monitor for the runs of `context`."""
+    def __init__(
+        self, context: TermContext, is_ending: Callable[[TrackedRun], bool]
+    ):
+        """Create a monitor for the runs of `context`.
+
+        Args:
+            context: Term whose runs are counted.
+            is_ending: Returns whether the end of a run is being committed.
+        """
         self._context = context
+        self._is_ending = is_ending
+        self._machine_orders: MachineOrders | None = None
+
+    def watch(self, machine_orders: MachineOrders) -> None:
+        """Count tasks on machines with an unsettled order as unavailable."""
+        self._machine_orders = machine_orders
 
     def budgets(
         self, leaving: frozenset[WorkerId] = frozenset()
@@ -107,12 +138,27 @@
         }
 
     def is_serving(self, run: TrackedRun) -> bool:
-        """Return whether a long-running task is confirmed to serve now."""
+        """Return whether a long-running task is confirmed to serve now.
+
+        What shows it has to be recent, and to be requested after the last
+        moment at which an order on its machine, or a stop of an earlier leader,
+        may have ended it.
+        """
         session = self._context.session_of(run)
-        return (
-            session is not None
-            and self._context.is_answering(session)
-            and run.phase is Phase.RUNNING
-            and run.row is not None
-            and run.row.percent >= 100
-        )
+        if (
+            session is None
+            or not self._context.is_answering(session)
+            or run.phase is not Phase.RUNNING
+            or run.row is None
+            or run.row.percent < 100
+            or self._is_ending(run)
+        ):
+            return False
+        ended_by = session.first_listed_at + STOP_SECONDS
+        if self._machine_orders is not None:
+            ended_by = max(
+                ended_by,
+                self._machine_orders.unsettled_until(session.report.machine),
+            )
+        oldest = monotonic_now() - ANSWER_SECONDS
+        return run.row_requested_at > max(ended_by, oldest)
--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from galenarill.common import MachineId, PoolId, monotonic_now, wall_now
+from galenarill.coordinator.disruptions import MachineOrders
 from galenarill.coordinator.guards import OrderGuard
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import ClusterState, MoveMachine, OrderMaintenance
@@ -37,7 +38,7 @@
 RETRY_SECONDS = 0.15
 
 
-class Fleet:
+class Fleet(MachineOrders):
     """Machines, and orders on them by one holder at a time.
 
     An order grants its holder a lease on the machine. A new leader gives no
@@ -90,6 +91,9 @@
         # Machines with an order in flight. A second order could overtake it,
         # and the first would be refused for its lower fencing token.
         self._ordering: set[MachineId] = set()
+        # Until when an attempt of this fleet's latest order on each machine may
+        # still be carried out, on the monotonic clock.
+        self._unsettled_until: dict[MachineId, float] = {}
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -169,6 +173,28 @@
             or monotonic_now() >= self._created_at + self._lease_seconds
         )
 
+    def unsettled_until(self, machine: MachineId) -> float:
+        """Return until when an order on a machine may still be carried out.
+
+        Without an answer that is the end of its holder's lease, also for an
+        order of an earlier term.
+
+        Returns:
+            Time on the monotonic clock: infinity while an order is in flight,
+            negative infinity if no order is known.
+        """
+        if machine in self._ordering:
+            return float("inf")
+        if machine in self._unsettled_until:
+            return self._unsettled_until[machine]
+        order = self._state.orders.get(machine)
+        if order is None:
+            return float("-inf")
+        remaining = order.at + self._lease_seconds - wall_now()
+        return min(
+            monotonic_now() + remaining, self._created_at + self._lease_seconds
+        )
+
     def mark_moving(self, machine: MachineId, pool: PoolId) -> None:
         """Record that a machine is moving to a pool."""
         self._moving[machine] = (pool, monotonic_now() + MOVE_TIMEOUT_SECONDS)
@@ -231,6 +257,7 @@
         """
         if machine in self._ordering:
             return MachineVerdict.BUSY, False
+        self._unsettled_until[machine] = self.unsettled_until(machine)
         self._ordering.add(machine)
         try:
             return await self._try_order(machine, intent, call, guard)
@@ -245,16 +272,14 @@
         guard: OrderGuard,
     ) -> tuple[MachineVerdict, bool]:
         planned_at = monotonic_now()
-        # Time until which an unanswered attempt may still be carried out.
-        open_until = float("-inf")
         tries = 0
         while True:
             await self._propose(msgspec.structs.replace(intent, at=wall_now()))
             if not self.may_order:
                 return MachineVerdict.BUSY, False
             if not guard.allows():
-                if monotonic_now() < open_until:
-                    # The machine stays reserved for the order meanwhile.
+                if monotonic_now() < self._unsettled_until[machine]:
+                    # An attempt without an answer may still be carried out.
                     await asyncio.sleep(RETRY_SECONDS)
                     continue
                 self._log_deferred(machine, tries, guard)
@@ -271,14 +296,22 @@
                     "fenced by another holder", extra={"machine": machine}
                 )
             if verdict is MachineVerdict.NO_ANSWER:
-                open_until = monotonic_now() + self._lease_seconds
+                self._unsettled_until[machine] = (
+                    monotonic_now() + self._lease_seconds
+                )
             if verdict in (
                 MachineVerdict.NO_ANSWER,
                 MachineVerdict.RATE_LIMITED,
             ):
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            if verdict is not MachineVerdict.DONE:
+            if verdict is MachineVerdict.DONE:
+                # Attempts before this one are refused from now on.
+                self._unsettled_until[machine] = monotonic_now()
+            else:
+                self._unsettled_until[machine] = max(
+                    self._unsettled_until[machine], monotonic_now()
+                )
                 self._busy_until[machine] = (
                     monotonic_now() + BUSY_BACKOFF_SECONDS
                 )
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -118,12 +118,14 @@
         self._context = TermContext(
             term, state, client, propose, has_leader_lease, max_lease_seconds
         )
-        self._disruptions = DisruptionMonitor(self._context)
         self._progress_monitor = ProgressMonitor(self._context)
         self._crash_monitor = CrashMonitor(self._context)
         self._end_committer = RunEndCommitter(
             self._context, self._progress_monitor, self._crash_monitor
         )
+        self._disruptions = DisruptionMonitor(
+            self._context, self._end_committer.is_ending
+        )
         self._advisor = Advisor(self._context, advice_client)
         self._run_orders = RunOrders(
             self._context, self._end_committer, self._advisor
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -367,6 +367,7 @@
                 settings.vm,
                 settings.machine_lease_ms / 1000,
             )
+            self._leader.disruptions.watch(fleet)
             rebalancer = PoolRebalancer(self._leader, self._state, fleet)
             wave_runner = WaveRunner(
                 self._leader, self._state, fleet, self._proposals.propose
--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -243,6 +243,7 @@
         for row in lists.running:
             run = self._find_run(session, row.task, row.run)
             if run is not None:
+                run.row_requested_at = sent_at
                 run.is_confirmed, run.machine = True, report.machine
                 run.note_alive(lists.clock_ms)
                 self._crash_monitor.note_listed(run)
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -53,6 +53,7 @@
         phase: Current phase.
         phase_since: When the phase was entered, on the monotonic clock.
         row: Latest row of the run in the worker's list, or None.
+        row_requested_at: When that list was requested, on the monotonic clock.
         has_unanswered_start: Whether a start order got no answer, so that the
             worker may still carry it out.
         ordered_at: When it was ordered, or adopted from an earlier leader, on
@@ -94,6 +95,7 @@
     phase: Phase
     phase_since: float
     row: RunningRow | None = None
+    row_requested_at: float = float("-inf")
     has_unanswered_start: bool = False
     ordered_at: float = 0.0
     progress: RunProgress | None = None
--- a/galenarill/coordinator/tests/machines.py
+++ b/galenarill/coordinator/tests/machines.py
@@ -197,6 +197,7 @@
     )
     leader, state = simulation.leader, simulation.state
     simulation.fleet = fleet
+    leader.disruptions.watch(fleet)
     simulation.machine_task = asyncio.ensure_future(
         manage_machines(
             fleet,
--- a/galenarill/workers/session.py
+++ b/galenarill/workers/session.py
@@ -35,6 +35,8 @@
             negative infinity after a renewal without an answer.
         has_unknown_runs: Whether its latest lists show a run that is not in the
             replicated state, which takes room until it has stopped.
+        first_listed_at: When its lists first arrived, on the monotonic clock,
+            or infinity.
         is_provisional: Whether this incarnation is known only by its run
             lists, so that the rest of `report` describes an earlier one.
     """
@@ -61,6 +63,7 @@
         self.has_unknown_runs = False
         self.is_provisional = is_provisional
         self.answered_at = float("-inf")
+        self.first_listed_at = float("inf")
         self._clock_reading: tuple[float, float] | None = None
         # The latest reading that came with this incarnation's lists. Answers
         # to other orders don't name the incarnation.
@@ -102,6 +105,7 @@
     def record_lists(self, clock_ms: float, now: float) -> None:
         """Record the reading that came with lists of this incarnation."""
         self._listed_reading = (clock_ms, now)
+        self.first_listed_at = min(self.first_listed_at, now)
 
     def note_silence(self) -> None:
         """Record that a renewal got no answer in time."""
