Keep disruption budgets at each attempt of an eviction

Callers saw a stop end a task while others of its step were away. Cause: an eviction is planned within the budget, but its stop was sent again at any later time while it had no answer, and the stop of a stalled task never asked. Change: such stops ask the budget before each attempt; if the first one may not be sent, the run goes on. A stalled task that doesn't serve is stopped as before.

--- a/galenarill/coordinator/disruptions.py
+++ b/galenarill/coordinator/disruptions.py
@@ -62,7 +62,9 @@
         return {
             step_key: budget
             for job_id in self._context.runs.jobs
-            for step_key, budget in self._budgets_of(job_id, leaving).items()
+            for step_key, budget in self._budgets_of(
+                job_id, lambda run: run.incarnation.worker in leaving
+            ).items()
         }
 
     def describe(self, runs: Iterable[TrackedRun]) -> list:
@@ -77,7 +79,7 @@
             if not run.step.is_long_running:
                 continue
             if run.step_key not in budgets:
-                budgets |= self._budgets_of(run.job, frozenset())
+                budgets |= self._budgets_of(run.job, lambda _: False)
             budget = budgets.get(run.step_key)
             if budget is not None:
                 described.append(
@@ -93,14 +95,14 @@
     def allows_end_of(self, runs: Collection[TrackedRun]) -> bool:
         """Return whether an order may end some runs now.
 
-        They count as unavailable already: the tasks of their steps that serve
-        on other workers have to be enough.
+        They count as unavailable already: the other tasks of their steps that
+        serve have to be enough.
         """
-        leaving = frozenset(run.incarnation.worker for run in runs)
+        leaving = {id(run) for run in runs}
         lasting = [run for run in runs if run.step.is_long_running]
         budgets: dict[StepKey, DisruptionBudget] = {}
         for job_id in {run.job for run in lasting}:
-            budgets |= self._budgets_of(job_id, leaving)
+            budgets |= self._budgets_of(job_id, lambda run: id(run) in leaving)
         return all(
             budgets[run.step_key].allows(0)
             for run in lasting
@@ -109,7 +111,7 @@
         )
 
     def _budgets_of(
-        self, job_id: JobId, leaving: frozenset[WorkerId]
+        self, job_id: JobId, is_leaving: Callable[[TrackedRun], bool]
     ) -> dict[StepKey, DisruptionBudget]:
         job = self._context.state.jobs.get(job_id)
         if (
@@ -122,7 +124,7 @@
         for run in self._context.runs.runs_of(job_id):
             if (
                 run.step.is_long_running
-                and run.incarnation.worker not in leaving
+                and not is_leaving(run)
                 and self.is_serving(run)
             ):
                 members = serving.setdefault(run.key[:2], set())
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -128,7 +128,10 @@
         )
         self._advisor = Advisor(self._context, advice_client)
         self._run_orders = RunOrders(
-            self._context, self._end_committer, self._advisor
+            self._context,
+            self._end_committer,
+            self._advisor,
+            self._disruptions,
         )
         self._lease_renewer = LeaseRenewer(
             self._context,
@@ -298,7 +301,7 @@
     def evict(self, worker: WorkerId, step_key: tuple) -> None:
         """Stop one task of a step on a worker, to restart it elsewhere."""
         for run in self.runs.on_worker(worker):
-            if run.step_key == step_key:
+            if run.step_key == step_key and self._disruptions.is_serving(run):
                 logger.info(
                     "task evicted",
                     extra={
@@ -308,7 +311,7 @@
                         "disrupts": self._disruptions.describe([run]),
                     },
                 )
-                self._run_orders.request_stop(run)
+                self._run_orders.request_restart(run)
                 return
 
     def workers_on(self, machine: Machine) -> set[WorkerId]:
--- a/galenarill/coordinator/orders.py
+++ b/galenarill/coordinator/orders.py
@@ -5,6 +5,7 @@
 
 from galenarill.common import WorkerId, monotonic_now
 from galenarill.coordinator.advisor import Advisor
+from galenarill.coordinator.disruptions import DisruptionMonitor
 from galenarill.coordinator.endings import RunEndCommitter
 from galenarill.coordinator.runs import Phase, TrackedRun
 from galenarill.coordinator.term import RETRY_SECONDS, TermContext
@@ -31,9 +32,11 @@
         context: TermContext,
         end_committer: RunEndCommitter,
         advisor: Advisor,
+        disruptions: DisruptionMonitor,
     ):
         """Create orders for the term of `context`."""
         self._context = context
+        self._disruptions = disruptions
         self._advisor = advisor
         self._end_committer = end_committer
         self._backoff_until: dict[WorkerId, float] = {}
@@ -97,7 +100,18 @@
         """Stop a run unless it is already stopping or stopped."""
         if run.phase not in (Phase.STOPPING, Phase.STOPPED):
             run.phase, run.phase_since = Phase.STOPPING, monotonic_now()
-            self._context.spawn(self._stop(run))
+            self._context.spawn(self._stop(run, keeps_budget=False))
+
+    def request_restart(self, run: TrackedRun) -> None:
+        """Stop a run whose task is to run elsewhere.
+
+        The disruption budget of its step is kept at each attempt, since an
+        attempt may come long after the request. If the budget doesn't
+        allow the first one, the run goes on.
+        """
+        if run.phase is Phase.RUNNING:
+            run.phase, run.phase_since = Phase.STOPPING, monotonic_now()
+            self._context.spawn(self._stop(run, keeps_budget=True))
 
     async def stop_unknown_run(
         self, session: WorkerSession, task: str, number: int
@@ -185,6 +199,11 @@
         await self._release_unstarted(run)
         return True
 
+    def _may_restart(self, run: TrackedRun) -> bool:
+        """Return whether a task that may serve can be stopped now."""
+        is_below_capacity = run.row is not None and run.row.percent < 100
+        return is_below_capacity or self._disruptions.allows_end_of([run])
+
     async def _release_unstarted(self, run: TrackedRun) -> None:
         """Release a run that has not started, to be placed elsewhere."""
         if run.has_unanswered_start:
@@ -193,12 +212,18 @@
         else:
             await self._end_committer.end(run, RunOutcome.REJECTED)
 
-    async def _stop(self, run: TrackedRun) -> None:
+    async def _stop(self, run: TrackedRun, *, keeps_budget: bool) -> None:
+        is_sent = False
         while self._context.is_tracked(run) and run.phase is Phase.STOPPING:
             # Without a session its worker may still be found: a new leader
             # learns of workers by their reports.
             session = self._context.session_of(run)
-            if session is not None and self._context.has_leader_lease():
+            if keeps_budget and not self._may_restart(run):
+                if not is_sent:
+                    run.phase, run.phase_since = Phase.RUNNING, monotonic_now()
+                    return
+            elif session is not None and self._context.has_leader_lease():
+                is_sent = True
                 answer = await self._context.client.stop(
                     session.report,
                     run.name,
--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -256,7 +256,7 @@
                 )
                 continue
             if self._progress_monitor.update_progress(run, row):
-                self._run_orders.request_stop(run)
+                self._run_orders.request_restart(run)
             if run.phase is Phase.INHERITED:
                 self._adopt_inherited(run)
         listed = {(row.task, row.run) for row in lists.running + lists.ended}
--- a/galenarill/coordinator/tests/test_disruption_budgets.py
+++ b/galenarill/coordinator/tests/test_disruption_budgets.py
@@ -146,17 +146,19 @@
 def test_an_eviction_without_an_answer_waits_while_a_task_is_away(make):
     """Two tasks on one machine: one of them is evicted before the upkeep."""
     simulation, platform = make(
-        {f"n{n}": "pool" for n in range(3)},
+        {f"n{n}": "pool" for n in range(4)},
         seconds_of=lambda *_: (999.0, "done"),
     )
     simulation.submit(
         "j",
-        count=6,
+        count=7,
         is_long_running=True,
         max_per_worker=2,
         max_unavailable=1,
     )
     simulation.advance(3)
+    full = [w for w in running(simulation) if len(w.records) == 2]
+    due, lost = (worker.report.machine for worker in full[:2])
     # Stops get no answer, while renewals do.
     network = simulation.network
     stop, blocked_until = network.stop, simulation.loop.time() + 7.0
@@ -168,9 +170,10 @@
         return await stop(*order)
 
     network.stop = stop_later
-    start_wave(simulation, ["n0"], max_machines_down=1)
+    start_wave(simulation, [due], max_machines_down=1)
     simulation.advance(0.5)
-    simulation.call(platform.lose, "n1", 12.0)
+    # One of its tasks can't run elsewhere until it is back.
+    simulation.call(platform.lose, lost, 12.0)
     simulation.advance(40)
     assert platform.audit.violations == []
     assert simulation.state.waves[1].is_completed
