Keep the upkeep of a machine apart by wave

Operators would see a wave completed though a machine of it had no upkeep for it (MIXED). Cause: the acknowledgement of an order was kept by machine, so with two waves at once the earlier one took the later one's upkeep for its own. Change: it is kept by wave and machine. Result: the test of overlapping waves failed before and passes.

--- a/galenarill/coordinator/waves.py
+++ b/galenarill/coordinator/waves.py
@@ -42,8 +42,9 @@
         # Machines with a maintenance order in flight, and the worker that it
         # ends. The order may not be committed yet.
         self._orders_in_flight: dict[MachineId, WorkerId] = {}
-        # When a maintenance order was acknowledged, on the monotonic clock.
-        self._acknowledged_at: dict[MachineId, float] = {}
+        # When the order of each wave and machine was acknowledged, on the
+        # monotonic clock.
+        self._acknowledged_at: dict[tuple[int, MachineId], float] = {}
         # Finished maintenance whose commit may still be pending.
         self._finished: set[tuple[int, MachineId]] = set()
 
@@ -67,7 +68,7 @@
     def _finish_returned(self, number: int, wave: Wave) -> None:
         for machine_id in wave.machines:
             machine = self._fleet.machines.get(machine_id)
-            acknowledged_at = self._acknowledged_at.get(machine_id)
+            acknowledged_at = self._acknowledged_at.get((number, machine_id))
             if self._is_finished(number, wave, machine_id):
                 continue
             if machine is None:
@@ -88,7 +89,7 @@
             extra={"wave": number, "machine": machine, "why": why},
         )
         self._finished.add((number, machine))
-        self._acknowledged_at.pop(machine, None)
+        self._acknowledged_at.pop((number, machine), None)
         self._fleet.cordoned_since.pop(machine, None)
         self._leader.uncordon(machine, CordonReason.MAINTENANCE)
         self._propose(FinishMaintenance(number, machine))
@@ -139,7 +140,7 @@
             machine is None
             or self._is_finished(number, wave, machine_id)
             or machine_id in self._orders_in_flight
-            or machine_id in self._acknowledged_at
+            or (number, machine_id) in self._acknowledged_at
         ):
             return None
         if is_ordered:
@@ -210,7 +211,7 @@
             },
         )
         if verdict is MachineVerdict.DONE:
-            self._acknowledged_at[machine.id] = monotonic_now()
+            self._acknowledged_at[number, machine.id] = monotonic_now()
             if is_first and not is_repeated:
                 self._leader.end_incarnation(
                     incarnation, "its machine is maintained"
