Start no long-running task where an earlier leader's order is unsettled

Change: while an order on a machine may still be carried out, its worker gets no long-running task; finite ones, which lose little, are placed there as before.

--- a/galenarill/coordinator/disruptions.py
+++ b/galenarill/coordinator/disruptions.py
@@ -67,6 +67,18 @@
             ).items()
         }
 
+    def unsettled_workers(self) -> frozenset[WorkerId]:
+        """Return the workers that an order on their machine may still end."""
+        if self._machine_orders is None:
+            return frozenset()
+        now = monotonic_now()
+        return frozenset(
+            worker
+            for worker, session in self._context.sessions.items()
+            if self._machine_orders.unsettled_until(session.report.machine)
+            > now
+        )
+
     def describe(self, runs: Iterable[TrackedRun]) -> list:
         """Return the long-running tasks among `runs` for a log line.
 
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -147,6 +147,7 @@
             self._progress_monitor,
             self._crash_monitor,
             self._advisor,
+            self._disruptions,
         )
 
     def start(self) -> None:
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -19,6 +19,7 @@
 from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.cordons import CordonReason, Cordons
 from galenarill.coordinator.crashes import CrashMonitor
+from galenarill.coordinator.disruptions import DisruptionMonitor
 from galenarill.coordinator.holding import WorkerHolds
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.preempting import Preemptor
@@ -111,9 +112,11 @@
         progress_monitor: ProgressMonitor,
         crash_monitor: CrashMonitor,
         advisor: Advisor,
+        disruptions: DisruptionMonitor,
     ):
         """Create a placer for the term of `context`."""
         self._context = context
+        self._disruptions = disruptions
         self._advisor = advisor
         self._run_orders = run_orders
         self._progress_monitor = progress_monitor
@@ -231,8 +234,14 @@
         wall_time = wall_now()
         # Number of tasks on each worker, by job, occurrence and step.
         step_tasks_by_worker: dict[tuple, dict[WorkerId, int]] = {}
+        unsettled = (
+            self._disruptions.unsettled_workers()
+            if any(group.step.is_long_running for group in groups)
+            else frozenset()
+        )
         make_candidate = functools.partial(
             self._candidate,
+            unsettled=unsettled,
             step_tasks_by_worker=step_tasks_by_worker,
             proposed=proposed,
         )
@@ -376,6 +385,7 @@
         self,
         group: TaskGroup,
         key: TaskKey,
+        unsettled: frozenset[WorkerId],
         step_tasks_by_worker: dict,
         proposed: list,
     ) -> Candidate:
@@ -397,6 +407,7 @@
             self._advisor.tickets_for(group.job, key, group.pool)
             if queue.advice is not None
             else None,
+            unsettled if step.is_long_running else frozenset(),
         )
 
     def _workers_to_avoid(self, job: Job, key: TaskKey) -> frozenset[WorkerId]:
--- a/galenarill/coordinator/tests/machines.py
+++ b/galenarill/coordinator/tests/machines.py
@@ -207,12 +207,6 @@
     )
 
 
-async def _restart_machine_task(simulation, machines):
-    """Replace the machine control loop of an earlier leader."""
-    simulation.machine_task.cancel()
-    start_machine_task(simulation, machines)
-
-
 def start_wave(simulation, machines, max_machines_down, seconds=60.0, wave=1):
     """Start a maintenance wave."""
     simulation.call(
@@ -229,6 +223,11 @@
 
 
 def take_over(simulation, machines):
-    """Replace the leader and its machine control loop."""
-    simulation.take_over()
-    simulation.run(_restart_machine_task(simulation, machines))
+    """Replace the leader and its machine control loop at one moment."""
+
+    async def replace():
+        simulation.machine_task.cancel()
+        simulation.start_term()
+        start_machine_task(simulation, machines)
+
+    simulation.run(replace())
--- a/galenarill/coordinator/tests/test_disruption_budgets.py
+++ b/galenarill/coordinator/tests/test_disruption_budgets.py
@@ -122,6 +122,22 @@
     assert simulation.state.waves[1].is_completed
 
 
+def test_a_new_leader_starts_no_task_where_an_earlier_order_is_open(make):
+    simulation, platform = serve(make, 3)
+    simulation.call(platform.come_back, "n3", "pool")
+    simulation.advance(1)
+    platform.delay_seconds = 1.4
+    start_wave(simulation, ["n3"], max_machines_down=1)
+    simulation.advance(0.3)
+    assert [order[1] for order in platform.orders] == ["n3"]
+    take_over(simulation, platform)
+    simulation.call(platform.lose, "n0", 15.0)
+    simulation.restart_worker("n1-worker")
+    simulation.advance(20)
+    ended = [r for r in simulation.network.history if r.how == "crashed"]
+    assert "n3-worker" not in {record.worker for record in ended}
+
+
 def test_tasks_whose_start_is_being_committed_keep_the_budget(make):
     simulation, platform = make(
         {f"n{n}": "pool" for n in range(3)},
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -37,6 +37,7 @@
         siblings: Number of tasks of the same step and occurrence by worker.
         tickets: Policy tickets by worker that may run it, or None if every
             worker may.
+        excluded: Workers that are not used.
     """
 
     job: JobId
@@ -47,6 +48,7 @@
     avoided: frozenset[WorkerId] = frozenset()
     siblings: dict[WorkerId, int] = dataclasses.field(default_factory=dict)
     tickets: dict[WorkerId, str] | None = None
+    excluded: frozenset[WorkerId] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -175,6 +177,7 @@
             count == 1
             and candidate.tickets is None
             and preferred.report.worker not in candidate.avoided
+            and preferred.report.worker not in candidate.excluded
             and _within_spread_limit(candidate, preferred, 0)
         ):
             workers = [preferred]
@@ -320,8 +323,10 @@
     candidate: Candidate, available_worker: AvailableWorker
 ) -> bool:
     label, worker = candidate.step.label, available_worker.report.worker
-    return (not label or label in available_worker.report.labels) and (
-        candidate.tickets is None or worker in candidate.tickets
+    return (
+        (not label or label in available_worker.report.labels)
+        and worker not in candidate.excluded
+        and (candidate.tickets is None or worker in candidate.tickets)
     )
 
 
