Refuse odd values in what workers, machines, advice and configurations say

Operators of similar systems saw one odd entry among those of the workers end the machines that read the list, or stop them from following it. Shown here: a clock of 1e400 ended the renewals of its worker for good (OverflowError), as did an address that the HTTP client refuses (ValueError); one odd entry made the whole list of machines unreadable, so that no machine was moved or maintained; a machine missing from a list with odd entries would have been taken for gone; a report with a start far in the future replaced the real worker of its id; a report with an unknown service was followed; deep nesting in a machine list or advice raised RecursionError; a wave number of 5,000 digits was answered with 500; a page that names itself as the next one was read for ever. Open: a machine list with an entry nested so deeply that the page can't be parsed at all is refused whole.

--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -50,6 +50,7 @@
     Attributes:
         machines: Machines as last read from the platform, by id.
         read_at: When that request was sent, on the monotonic clock.
+        is_complete: Whether a machine that isn't listed is gone.
         cordoned_since: When each machine was cordoned for maintenance, in Unix
             seconds. A cordoned machine gets no new tasks.
     """
@@ -77,6 +78,7 @@
         """
         self.machines: dict[MachineId, Machine] = {}
         self.read_at = float("-inf")
+        self.is_complete = False
         self.cordoned_since: dict[MachineId, float] = {}
         self._term = term
         self._state = state
@@ -127,9 +129,14 @@
             MachineListError: If it could not be read.
         """
         sent_at = monotonic_now()
-        machines = await self._client.list()
+        listed = await self._client.list()
         self.read_at = sent_at
-        self.machines = {machine.id: machine for machine in machines}
+        self.is_complete = listed.is_complete
+        machines = {machine.id: machine for machine in listed.machines}
+        if not listed.is_complete:
+            # The entries that could not be read may be of known machines.
+            machines = self.machines | machines
+        self.machines = machines
         for machine_id, (pool, deadline) in list(self._moving.items()):
             if self._is_shown(machine_id, pool) or sent_at > deadline:
                 del self._moving[machine_id]
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -14,7 +14,7 @@
     ReportWorker,
     WorkerLeft,
 )
-from galenarill.common import VmId, WorkerId, monotonic_now
+from galenarill.common import PoolId, VmId, WorkerId, monotonic_now
 from galenarill.consensus import (
     Entry,
     EntryKind,
@@ -43,6 +43,7 @@
     WorkerClient,
     WorkerRegistry,
     WorkerReport,
+    begins_in_future,
 )
 
 __all__ = ["Coordinator"]
@@ -217,6 +218,8 @@
 
     async def note_report(self, report: WorkerReport, deadline: float) -> None:
         """Handle a worker's report and forward it to other coordinators."""
+        if not self._is_credible(report):
+            return
         message = ReportWorker(report)
         self._apply_report(report)
         for peer in self._coordinators:
@@ -237,6 +240,8 @@
         return self._replica.can_serve_reads(monotonic_now())
 
     def _apply_report(self, report: WorkerReport) -> None:
+        if not self._is_credible(report):
+            return
         if (
             self._registry.record_report(report, monotonic_now())
             and self._leader
@@ -245,6 +250,36 @@
                 self._registry.workers[report.worker].report
             )
 
+    def _is_credible(self, report: WorkerReport) -> bool:
+        """Return whether a report may describe a worker to use.
+
+        Another writer may use the id of a real worker.
+        """
+        if begins_in_future(report.born):
+            why = "it begins in the future"
+        elif not self._is_configured(report.pool):
+            # It is sent again before long, when a configuration may name it.
+            why = "its pool is unknown"
+        else:
+            return True
+        logger.warning(
+            "report of a worker ignored",
+            extra={
+                "worker": report.worker,
+                "born": report.born,
+                "pool": report.pool,
+                "why": why,
+            },
+        )
+        return False
+
+    def _is_configured(self, pool: PoolId) -> bool:
+        """Return whether a pool is configured, or nothing is yet."""
+        configuration = self._state.routing.configuration
+        return configuration.version == 0 or any(
+            known.name == pool for known in configuration.pools
+        )
+
     def _apply_departure(self, worker: WorkerId) -> None:
         report = self._registry.note_left(worker)
         if report is not None and self._leader is not None:
--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -21,6 +21,7 @@
     WorkerLists,
     WorkerReport,
     WorkerSession,
+    begins_in_future,
     worst_case_seconds,
 )
 
@@ -146,7 +147,15 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             sent_at = monotonic_now()
-            answer = await self._send(session, sent_at, is_answering)
+            try:
+                answer = await self._send(session, sent_at, is_answering)
+            except Exception:
+                # The lease lapses unless a later renewal succeeds.
+                logger.exception(
+                    "lease not renewed",
+                    extra={"worker": session.report.worker},
+                )
+                answer = OrderAnswer(Verdict.NO_ANSWER)
             was_answering = is_answering
             is_answering = answer.verdict is Verdict.DONE
             if is_answering:
@@ -220,7 +229,7 @@
     ) -> None:
         report = session.report
         if lists.born is not None and lists.born != report.born:
-            if lists.born < report.born:
+            if lists.born < report.born or begins_in_future(lists.born):
                 return
             self._crash_monitor.note_replaced(_incarnation(report))
             # Its own report follows. Until then it gets no starts.
--- a/galenarill/coordinator/tests/machines.py
+++ b/galenarill/coordinator/tests/machines.py
@@ -12,6 +12,7 @@
 from galenarill.pools import (
     Machine,
     MachineClient,
+    MachineList,
     MachineState,
     MachineVerdict,
 )
@@ -77,7 +78,7 @@
     async def list(self):
         """Return all machines."""
         await asyncio.sleep(0.01)
-        return list(self.machines.values())
+        return MachineList(list(self.machines.values()))
 
     async def move(self, machine, pool, holder, token):
         """Move a machine to a pool."""
--- a/galenarill/coordinator/waves.py
+++ b/galenarill/coordinator/waves.py
@@ -72,7 +72,8 @@
             if self._is_finished(number, wave, machine_id):
                 continue
             if machine is None:
-                self._finish(number, machine_id, "it is gone")
+                if self._fleet.is_complete:
+                    self._finish(number, machine_id, "it is gone")
             elif (
                 acknowledged_at is not None
                 and self._fleet.read_at > acknowledged_at
--- a/galenarill/jobs/commands.py
+++ b/galenarill/jobs/commands.py
@@ -230,6 +230,7 @@
     except (
         msgspec.ValidationError,
         cbor2.CBORDecodeError,
+        RecursionError,
         TypeError,
         ValueError,
     ) as error:
--- a/galenarill/platform/advice_client.py
+++ b/galenarill/platform/advice_client.py
@@ -1,14 +1,17 @@
 """HTTP client of the platform's policy service."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 import msgspec
 
 from galenarill.common import WorkerId
+from galenarill.errors import ProtocolError
+from galenarill.platform.fields import Number
 from galenarill.workers import Advice, AdviceClient
 
-__all__ = ["HttpAdviceClient"]
+__all__ = ["HttpAdviceClient", "decode_advice"]
 
 # The service handles calls one at a time, so a call may queue behind others.
 CALL_TIMEOUT_SECONDS = 3.0
@@ -16,9 +19,9 @@
 
 
 class _AdviceResponse(msgspec.Struct):
-    # Rows of [worker id, ticket].
-    good: list[list[str]]
-    valid_ms: float = DEFAULT_VALID_MS
+    # Rows of [worker id, ticket], decoded one by one.
+    good: list[msgspec.Raw]
+    valid_ms: Number = DEFAULT_VALID_MS
 
 
 class HttpAdviceClient(AdviceClient):
@@ -46,16 +49,25 @@
                     data = await response.read()
                     if response.status != 200:
                         return None
-            answer = msgspec.json.decode(data, type=_AdviceResponse)
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            msgspec.DecodeError,
-        ):
+            return decode_advice(data)
+        except (aiohttp.ClientError, TimeoutError, OSError, ProtocolError):
             # The caller logs the missing advice.
             return None
-        return Advice(
-            {WorkerId(row[0]): row[1] for row in answer.good if len(row) > 1},
-            answer.valid_ms / 1000,
-        )
+
+
+def decode_advice(data: bytes) -> Advice:
+    """Decode a response of the policy service; odd rows are left out.
+
+    Raises:
+        ProtocolError: If the message is malformed.
+    """
+    try:
+        answer = msgspec.json.decode(data, type=_AdviceResponse)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ProtocolError(str(error)) from error
+    tickets = {}
+    for row in answer.good:
+        with contextlib.suppress(msgspec.DecodeError, UnicodeDecodeError):
+            worker, ticket = msgspec.json.decode(row, type=tuple[str, str])
+            tickets[WorkerId(worker)] = ticket
+    return Advice(tickets, answer.valid_ms / 1000)
--- a/galenarill/platform/control.py
+++ b/galenarill/platform/control.py
@@ -30,6 +30,8 @@
 WAVE_STATUS_PREFIX = "/galenarill/wave-get/"
 # Clients fail over to another node after 1 s, so respond before that.
 CALL_TIMEOUT_SECONDS = 0.9
+# Digits of the largest number of a wave.
+MAX_WAVE_DIGITS = 16
 
 logger = logging.getLogger(__name__)
 
@@ -110,7 +112,7 @@
         return json_response({})
 
     async def _wave_status(self, wave: str) -> web.Response:
-        if not wave.isdecimal():
+        if not wave.isdecimal() or len(wave) > MAX_WAVE_DIGITS:
             return json_response({"error": "not a wave"}, 400)
         reply = await self._call_leader(AskWave(int(wave)))
         if reply.code is Code.UNKNOWN:
--- a/galenarill/platform/machine_client.py
+++ b/galenarill/platform/machine_client.py
@@ -1,14 +1,18 @@
 """HTTP client of the platform's machine interface."""
 
 import asyncio
+import logging
 
 import aiohttp
 import msgspec
 
 from galenarill.common import MachineId, PoolId, WorkerId
+from galenarill.errors import ProtocolError
+from galenarill.platform.fields import Amount, is_id
 from galenarill.pools import (
     Machine,
     MachineClient,
+    MachineList,
     MachineListError,
     MachineState,
     MachineVerdict,
@@ -17,6 +21,8 @@
 
 __all__ = ["HttpMachineClient"]
 
+logger = logging.getLogger(__name__)
+
 CALL_TIMEOUT_SECONDS = 1.5
 LEASE_HOLDER_HEADER = "X-Galenarill-Lease-Holder"
 FENCING_TOKEN_HEADER = "X-Galenarill-Fencing-Token"
@@ -29,9 +35,9 @@
 
 
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class _Machine(msgspec.Struct):
@@ -46,10 +52,15 @@
 
 
 class _Page(msgspec.Struct):
-    machines: list[_Machine]
+    # Decoded one by one: one odd entry must not hide the others.
+    machines: list[msgspec.Raw]
     next_token: str | int | None = None
 
 
+# What malformed JSON raises. Deep nesting is a RecursionError.
+_DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
+
 class _Refusal(msgspec.Struct):
     reason: str = ""
 
@@ -66,14 +77,17 @@
         """Close the HTTP session."""
         await self._session.close()
 
-    async def list(self) -> list[Machine]:
+    async def list(self) -> MachineList:
         """Return all machines, from every page of the platform's list.
 
         Raises:
-            MachineListError: If a page could not be fetched or decoded.
+            MachineListError: If a page could not be fetched or decoded, or
+                follows itself.
         """
         machines: list[Machine] = []
+        unreadable = 0
         page_token = None
+        page_tokens = set()
         while True:
             params = (
                 {} if page_token is None else {"page_token": str(page_token)}
@@ -85,14 +99,27 @@
                 )
             try:
                 page = msgspec.json.decode(data, type=_Page)
-            except msgspec.DecodeError as error:
+            except _DECODE_ERRORS as error:
                 raise MachineListError(
                     f"invalid page of the machine list: {error}"
                 ) from error
-            machines += [_to_machine(raw) for raw in page.machines]
+            for raw in page.machines:
+                try:
+                    machines.append(_decode_machine(raw))
+                except ProtocolError as error:
+                    unreadable += 1
+                    logger.warning(
+                        "entry of the machine list skipped",
+                        extra={"why": str(error)},
+                    )
             page_token = page.next_token
             if not page_token:
-                return machines
+                return MachineList(machines, not unreadable)
+            if page_token in page_tokens:
+                raise MachineListError(
+                    f"page {page_token!r} of the machine list follows itself"
+                )
+            page_tokens.add(page_token)
 
     async def move(
         self, machine: MachineId, pool: PoolId, holder: str, token: int
@@ -133,7 +160,7 @@
             case 409:
                 try:
                     refusal = msgspec.json.decode(data, type=_Refusal)
-                except msgspec.DecodeError:
+                except _DECODE_ERRORS:
                     return MachineVerdict.BUSY
                 return _VERDICT_BY_REASON.get(
                     refusal.reason, MachineVerdict.BUSY
@@ -153,7 +180,14 @@
             return 0, b""
 
 
-def _to_machine(raw: _Machine) -> Machine:
+def _decode_machine(data: msgspec.Raw) -> Machine:
+    try:
+        raw = msgspec.json.decode(data, type=_Machine)
+    except _DECODE_ERRORS as error:
+        raise ProtocolError(str(error)) from error
+    for text in (raw.machine, raw.id):
+        if text and not is_id(text):
+            raise ProtocolError(f"not an id: {text[:80]!r}")
     return Machine(
         MachineId(raw.machine),
         PoolId(raw.pool),
--- a/galenarill/platform/wire.py
+++ b/galenarill/platform/wire.py
@@ -5,6 +5,15 @@
 from galenarill.common import PoolId, QueueId, TeamId, WorkerId
 from galenarill.errors import ProtocolError
 from galenarill.jobs import JobSpec, Step
+from galenarill.platform.fields import (
+    Amount,
+    Integer,
+    Number,
+    finite,
+    is_address,
+    is_id,
+    whole,
+)
 from galenarill.routing import (
     AdvicePolicy,
     Configuration,
@@ -36,20 +45,29 @@
 # Limit of a job's payload in the platform's protocol.
 MAX_PAYLOAD_BYTES = 4000
 JOB_ID_DIGITS = 16
+# Limit of the tasks of one job, and of its occurrences, each of which the
+# scheduler goes through.
+MAX_TASKS = 100_000
 
 
 class _Resources(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+
+
+class _Limit(msgspec.Struct):
+    cpu: Integer = 0
+    mem_mb: Integer = 0
+    gpu: Integer = 0
 
 
 class _Step(msgspec.Struct):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0
+    count: Amount
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+    estimate_ms: Number = 0
     depends_on: list[int] = []
     checkpointing: bool = False
     gang: bool = False
@@ -58,30 +76,30 @@
     requires: str = ""
     data_rack: str = ""
     # Upper limit of the step's tasks on one worker.
-    anti_affinity: int = 0
+    anti_affinity: Amount = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
     # Upper bound of the tail latency of a task that serves requests.
-    target_ms: float = 0
+    target_ms: Number = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Amount = 0
 
 
 class _Job(msgspec.Struct):
     # Opaque payload, passed to the worker.
     spec: str
     steps: list[_Step]
-    repeat_count: int = 0
+    repeat_count: Amount = 0
     # Due time of the first occurrence, as a Unix timestamp.
-    initial_delay_ms: float = 0
-    interval_ms: float = 0
+    initial_delay_ms: Number = 0
+    interval_ms: Number = 0
 
 
 class _Advice(msgspec.Struct):
-    decide_ms: float = 0
-    each_ms: float = 0
-    valid_ms: float = 0
+    decide_ms: Number = 0
+    each_ms: Number = 0
+    valid_ms: Number = 0
 
 
 class _Route(msgspec.Struct):
@@ -90,11 +108,11 @@
     path_prefix: str
     # Pool whose workers run the queue's tasks.
     service: str
-    timeout_ms: float
-    slo_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    timeout_ms: Number
+    slo_ms: Number = 0
+    priority: Integer = 0
+    max_attempts: Integer = 1
+    stretch: Number = 1.0
     public: bool = False
     advice: _Advice | None = None
 
@@ -106,19 +124,19 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 0
-    max_body_bytes: int = 0
+    max_header_bytes: Integer = 0
+    max_body_bytes: Integer = 0
 
 
 class _Tenant(msgspec.Struct):
     name: str
-    weight: float
+    weight: Number
     api_keys: list[str] = []
-    upper_limit: _Resources = msgspec.field(default_factory=_Resources)
+    upper_limit: _Limit = msgspec.field(default_factory=_Limit)
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -131,33 +149,33 @@
     address: str
     zone: str
     state: str
-    seq: int
+    seq: Integer
     capacity: _Resources
-    born: int = 0
+    born: Integer = 0
     machine: str = ""
     # The worker's kind, followed by its rack.
     labels: list[str] = []
-    remaining_ms: float = 0
+    remaining_ms: Number = 0
 
 
 class _RunLists(msgspec.Struct):
-    clock_ms: float
+    clock_ms: Number
     running: list[list] = []
     ended: list[list] = []
-    born: int | None = None
+    born: Integer | None = None
 
 
 class _OrderResponse(msgspec.Struct):
-    clock_ms: float | None = None
+    clock_ms: Number | None = None
     reason: str = ""
 
 
 class _Wave(msgspec.Struct):
-    wave: int
+    wave: Integer
     machines: list[str]
-    duration_s: float
+    duration_s: Number
     # Machines that may be unavailable at the same time.
-    upper_limit: int
+    upper_limit: Integer
 
 
 def is_job_id(text: str) -> bool:
@@ -186,12 +204,16 @@
     for number, step in enumerate(job.steps):
         if step.count < 1:
             raise ProtocolError(f"step {number}: count must be 1 or more")
-        if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
-            raise ProtocolError(f"step {number}: a negative amount")
+        if step.estimate_ms < 0:
+            raise ProtocolError(f"step {number}: a negative estimate")
         if any(not 0 <= other < number for other in step.depends_on):
             raise ProtocolError(f"step {number}: depends on no earlier step")
-    if job.repeat_count < 0 or job.interval_ms < 0:
-        raise ProtocolError("a negative count or interval")
+    if sum(step.count for step in job.steps) > MAX_TASKS:
+        raise ProtocolError(f"a job has at most {MAX_TASKS} tasks")
+    if job.repeat_count > MAX_TASKS:
+        raise ProtocolError(f"a job is repeated at most {MAX_TASKS} times")
+    if job.interval_ms < 0:
+        raise ProtocolError("a negative interval")
     return JobSpec(
         job.spec,
         tuple(_to_step(step) for step in job.steps),
@@ -242,9 +264,14 @@
     raw = _decode(data, _Report)
     if raw.state not in ("ready", "draining"):
         raise ProtocolError(f"unknown state {raw.state!r}")
-    host, _, port = raw.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ProtocolError(f"address must be host:port, not {raw.address!r}")
+    if not is_id(worker):
+        raise ProtocolError(f"not an id of a worker: {worker[:80]!r}")
+    if raw.machine and not is_id(raw.machine):
+        raise ProtocolError(f"not an id of a machine: {raw.machine[:80]!r}")
+    if not is_address(raw.address):
+        raise ProtocolError(
+            f"address must be host:port, not {raw.address[:80]!r}"
+        )
     return WorkerReport(
         WorkerId(worker),
         raw.born,
@@ -272,21 +299,25 @@
     try:
         running = tuple(
             RunningRow(
-                str(row[0]),
-                int(row[1]),
-                str(row[2]),
-                float(row[3]),
-                float(row[4]) if len(row) > 4 else 0.0,
+                _text(row[0]),
+                whole(row[1]),
+                _text(row[2]),
+                finite(row[3]),
+                finite(row[4]) if len(row) > 4 else 0.0,
             )
             for row in raw.running
         )
         ended = tuple(
             EndedRow(
-                int(row[0]), str(row[1]), int(row[2]), str(row[3]), str(row[4])
+                whole(row[0]),
+                _text(row[1]),
+                whole(row[2]),
+                _text(row[3]),
+                _text(row[4]),
             )
             for row in raw.ended
         )
-    except (IndexError, TypeError, ValueError) as error:
+    except (IndexError, ValueError) as error:
         raise ProtocolError(f"malformed row in a run list: {error}") from error
     return WorkerLists(raw.clock_ms, raw.born, running, ended)
 
@@ -328,6 +359,12 @@
         raise ProtocolError(str(error)) from error
 
 
+def _text(value) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"expected a string, not {type(value).__name__}")
+    return value
+
+
 def _to_resources(raw) -> Resources:
     return Resources(raw.cpu, raw.mem_mb, raw.gpu)
 
--- a/galenarill/platform/worker_client.py
+++ b/galenarill/platform/worker_client.py
@@ -141,7 +141,8 @@
                     },
                 ) as response:
                     return response.status, await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        # An address or id that the HTTP client can't use is a ValueError.
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             # The caller logs the consequences of a missing response.
             return 0, b""
 
--- a/galenarill/pools/machines.py
+++ b/galenarill/pools/machines.py
@@ -12,6 +12,7 @@
 __all__ = [
     "MachineState",
     "Machine",
+    "MachineList",
     "MachineVerdict",
     "MachineClient",
     "MachineListError",
@@ -53,6 +54,19 @@
     worker: WorkerId
 
 
+class MachineList(msgspec.Struct, frozen=True):
+    """The platform's list of machines.
+
+    Attributes:
+        machines: Machines whose entries could be read.
+        is_complete: Whether every entry could be read, so that a machine that
+            isn't listed is gone.
+    """
+
+    machines: list[Machine]
+    is_complete: bool = True
+
+
 class MachineVerdict(enum.Enum):
     """Result of an order on a machine."""
 
@@ -79,11 +93,11 @@
     """
 
     @abc.abstractmethod
-    async def list(self) -> list[Machine]:
+    async def list(self) -> MachineList:
         """Return all machines.
 
         Raises:
-            MachineListError: If the list could not be read in full.
+            MachineListError: If the list could not be read.
         """
 
     @abc.abstractmethod
--- a/galenarill/workers/report.py
+++ b/galenarill/workers/report.py
@@ -8,10 +8,15 @@
     PoolId,
     RackId,
     WorkerId,
+    wall_now,
 )
 from galenarill.routing import Resources
 
-__all__ = ["WorkerReport"]
+__all__ = ["WorkerReport", "begins_in_future"]
+
+# Largest error of a worker's clock against ours, in seconds. An incarnation
+# beyond it would replace the real one of its id for good.
+MAX_CLOCK_ERROR_SECONDS = 86400.0
 
 
 class WorkerReport(msgspec.Struct, frozen=True, array_like=True):
@@ -44,3 +49,12 @@
     capacity: Resources
     is_draining: bool = False
     remaining_ms: float = 0.0
+
+
+def begins_in_future(born: int) -> bool:
+    """Return whether an incarnation claims to begin in the future.
+
+    Args:
+        born: Start of the incarnation, Unix milliseconds.
+    """
+    return born > (wall_now() + MAX_CLOCK_ERROR_SECONDS) * 1000
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -247,6 +247,66 @@
     run_scenario(scenario)
 
 
+def test_odd_reports_end_no_process_and_hide_no_worker():
+    """Also under the id of a real worker, and beside its own reports."""
+    good = {
+        "service": "pool",
+        "address": "127.0.0.1:9",
+        "zone": "a",
+        "state": "ready",
+        "seq": 10**9,
+        "born": 1,
+        "machine": "m-odd",
+        "labels": ["a", "r1"],
+        "capacity": {"cpu": 4, "mem_mb": 1000},
+    }
+    deep = "[" * 100_000 + "]" * 100_000
+    bodies = [
+        deep,
+        json.dumps(good)[:-1] + f',"odd":{deep}}}',
+        json.dumps(good | {"born": 2**53 - 1}),
+        json.dumps(good | {"born": 2**53 - 1, "state": "draining"}),
+        json.dumps(good | {"service": "unknown", "born": 2**41}),
+        *(
+            json.dumps(good | {field: value})
+            for field, value in (
+                ("born", 2**70),
+                ("seq", 2**70),
+                ("address", "127.0.0.1:99999"),
+                ("address", "127.0.0.1:" + "9" * 5000),
+                ("address", "127.0.0.1\n:80"),
+                ("capacity", {"cpu": -1}),
+                ("machine", "a\nb"),
+            )
+        ),
+        *(
+            json.dumps(good | {"born": "@"}).replace('"@"', number)
+            for number in ("1e400", "9" * 400, "9" * 5000, "-1")
+        ),
+    ]
+
+    async def scenario(system):
+        for body in bodies:
+            for worker in ("i-1", "i-odd", "i%0Aodd"):
+                for address in CONTROL_ADDRESSES:
+                    url = f"http://{address}/galenarill/instances/{worker}"
+                    status, _ = await system.call("PUT", url, data=body)
+                    assert status in (200, 400), (body[:100], worker)
+        status, _ = await system.call(
+            "GET",
+            f"http://{CONTROL_ADDRESSES[0]}/galenarill/wave-get/" + "9" * 5000,
+        )
+        assert status == 400
+        await system.call_until(lambda: system.submit(JOB_ID, 6), 200)
+        await system.wait_until_completed(JOB_ID)
+        used = {record.worker for record in system.workers.history}
+        assert used == {"i-1", "i-2"}
+        for process in system.processes.values():
+            assert process.returncode is None
+
+    run_scenario(scenario)
+
+
 def test_killed_leader_is_replaced_without_losing_jobs():
     async def scenario(system):
         await system.call_until(lambda: system.submit(JOB_ID, count=30), 200)
