Fear an order without an answer for as long as it may be late

Change: an order without an answer is unsettled for 13 s, the platform's longest delay and a margin; for one of an earlier term the lease is enough if the worker began after it or the list shows the move, as it was carried out then. The budget is asked before the intent is committed again.

--- a/galenarill/coordinator/disruptions.py
+++ b/galenarill/coordinator/disruptions.py
@@ -8,6 +8,7 @@
 from galenarill.coordinator.term import ANSWER_SECONDS, TermContext
 from galenarill.jobs import JobStatus
 from galenarill.maintenance_waves import DisruptionBudget
+from galenarill.workers import WorkerSession
 
 __all__ = ["DisruptionMonitor", "MachineOrders"]
 
@@ -22,9 +23,13 @@
     """What is known of the outcome of orders on machines."""
 
     @abc.abstractmethod
-    def unsettled_until(self, machine: MachineId) -> float:
+    def unsettled_until(self, machine: MachineId, began_at: float) -> float:
         """Return until when an order on a machine may still be carried out.
 
+        Args:
+            machine: Machine.
+            began_at: Start of its current worker, Unix seconds.
+
         Returns:
             Time on the monotonic clock: infinity while an order is in flight,
             negative infinity if no order is known.
@@ -69,14 +74,11 @@
 
     def unsettled_workers(self) -> frozenset[WorkerId]:
         """Return the workers that an order on their machine may still end."""
-        if self._machine_orders is None:
-            return frozenset()
         now = monotonic_now()
         return frozenset(
             worker
             for worker, session in self._context.sessions.items()
-            if self._machine_orders.unsettled_until(session.report.machine)
-            > now
+            if self._unsettled_until(session) > now
         )
 
     def describe(self, runs: Iterable[TrackedRun]) -> list:
@@ -168,11 +170,16 @@
             or self._is_ending(run)
         ):
             return False
-        ended_by = session.first_listed_at + STOP_SECONDS
-        if self._machine_orders is not None:
-            ended_by = max(
-                ended_by,
-                self._machine_orders.unsettled_until(session.report.machine),
-            )
-        oldest = monotonic_now() - ANSWER_SECONDS
-        return run.row_requested_at > max(ended_by, oldest)
+        return run.row_requested_at > max(
+            session.first_listed_at + STOP_SECONDS,
+            self._unsettled_until(session),
+            monotonic_now() - ANSWER_SECONDS,
+        )
+
+    def _unsettled_until(self, session: WorkerSession) -> float:
+        if self._machine_orders is None:
+            return float("-inf")
+        report = session.report
+        return self._machine_orders.unsettled_until(
+            report.machine, report.born / 1000
+        )
--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -35,7 +35,7 @@
 # Time after which a move that the machine list doesn't show is given up, in
 # seconds. Several times the duration of a move on the platform.
 MOVE_TIMEOUT_SECONDS = 8.0
-# Time after which a move that got no answer is no longer carried out, in
+# Time after which an order that got no answer is no longer carried out, in
 # seconds. The platform may hold an order up for 12 seconds.
 MAX_ORDER_DELAY_SECONDS = 13.0
 RETRY_SECONDS = 0.15
@@ -186,12 +186,16 @@
             or monotonic_now() >= self._created_at + self._lease_seconds
         )
 
-    def unsettled_until(self, machine: MachineId) -> float:
+    def unsettled_until(self, machine: MachineId, began_at: float) -> float:
         """Return until when an order on a machine may still be carried out.
 
-        Without an answer that is the end of its holder's lease. So it is for
-        the maintenance of an earlier term, which is repeated then. A move of an
-        earlier term isn't; if the list doesn't show it, it may be late.
+        An order of an earlier term is taken as settled when its holder's lease
+        ends, if the list or a later start of the worker shows that it was
+        carried out. Otherwise it may be late.
+
+        Args:
+            machine: Machine.
+            began_at: Start of its current worker, Unix seconds.
 
         Returns:
             Time on the monotonic clock: infinity while an order is in flight,
@@ -204,9 +208,12 @@
         order = self._state.orders.get(machine)
         if order is None:
             return float("-inf")
-        seconds = self._lease_seconds
-        if order.pool is not None and not self._is_shown(machine, order.pool):
-            seconds = MAX_ORDER_DELAY_SECONDS
+        was_carried_out = began_at > order.at or (
+            order.pool is not None and self._is_shown(machine, order.pool)
+        )
+        seconds = (
+            self._lease_seconds if was_carried_out else MAX_ORDER_DELAY_SECONDS
+        )
         return min(
             monotonic_now() + order.at + seconds - wall_now(),
             self._created_at + seconds,
@@ -274,7 +281,7 @@
         """
         if machine in self._ordering:
             return MachineVerdict.BUSY, False
-        self._unsettled_until[machine] = self.unsettled_until(machine)
+        self._unsettled_until.setdefault(machine, float("-inf"))
         self._ordering.add(machine)
         try:
             return await self._try_order(machine, intent, call, guard)
@@ -291,13 +298,18 @@
         planned_at = monotonic_now()
         tries = 0
         while True:
+            if (
+                not guard.allows()
+                and monotonic_now() < self._unsettled_until[machine]
+            ):
+                # An attempt without an answer may still be carried out.
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             await self._propose(msgspec.structs.replace(intent, at=wall_now()))
             if not self.may_order:
                 return MachineVerdict.BUSY, False
             if not guard.allows():
                 if monotonic_now() < self._unsettled_until[machine]:
-                    # An attempt without an answer may still be carried out.
-                    await asyncio.sleep(RETRY_SECONDS)
                     continue
                 self._log_deferred(machine, tries, guard)
                 return MachineVerdict.DEFERRED, False
@@ -314,7 +326,7 @@
                 )
             if verdict is MachineVerdict.NO_ANSWER:
                 self._unsettled_until[machine] = (
-                    monotonic_now() + self._lease_seconds
+                    monotonic_now() + MAX_ORDER_DELAY_SECONDS
                 )
             if verdict in (
                 MachineVerdict.NO_ANSWER,
