Take out two settings that nothing reads

away_notice_ms would have been the time after which a task counts as away; budgets count every task that doesn't serve, which is stricter. move_seconds had no reader either. Result: tests of settings pass.

--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -35,9 +35,6 @@
             exclusive right to send orders to a machine.
         max_worker_lease_ms: Longest lease that a worker accepts; a longer one
             is cut to it.
-        move_seconds: Time in which a machine moves to another pool.
-        away_notice_ms: Time for which a task that was unavailable still counts
-            against its step's disruption budget.
     """
 
     vm: str
@@ -59,8 +56,6 @@
     grace_seconds: float = 6.0
     machine_lease_ms: float = 3000.0
     max_worker_lease_ms: float = 10_000.0
-    move_seconds: float = 1.5
-    away_notice_ms: float = 4500.0
 
     @property
     def link_address(self) -> VmId:
