Test that takeovers let no lease of a sound worker lapse

A lapse without a disruption counts as an order that ends a task. One property moves to its neighbours.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -33,6 +33,7 @@
     JobStatus,
     Step,
 )
+from galenarill.maintenance_waves import StepKey
 from galenarill.placement import estimated_seconds, objective_at
 from galenarill.pools import (
     ARRIVAL_SECONDS,
@@ -188,6 +189,11 @@
         """Session with the current incarnation of each worker."""
         return self._context.sessions
 
+    @property
+    def disruptions(self) -> DisruptionMonitor:
+        """Monitor of the disruption budgets of long-running steps."""
+        return self._disruptions
+
     def note_report(self, report: WorkerReport) -> None:
         """Handle the latest report of a worker."""
         self._lease_renewer.note_report(report)
@@ -299,7 +305,7 @@
             self._end_committer.end_lost_runs_later(session.report)
         )
 
-    def evict(self, machine: Machine, step_key: tuple) -> None:
+    def evict(self, machine: Machine, step_key: StepKey) -> None:
         """Stop one task of a step on a machine, to restart it elsewhere."""
         for run in self.runs_on(machine):
             if run.step_key == step_key and self._disruptions.is_serving(run):
@@ -398,11 +404,6 @@
         for pool, load in loads.items():
             load.arriving = self._arrivals.capacity(pool, now)
 
-    @property
-    def disruptions(self) -> DisruptionMonitor:
-        """Monitor of the disruption budgets of long-running steps."""
-        return self._disruptions
-
     async def _tick(self) -> None:
         await asyncio.sleep(TICK_SECONDS)
         if not self._context.has_leader_lease():
--- a/galenarill/coordinator/tests/test_disruption_budgets.py
+++ b/galenarill/coordinator/tests/test_disruption_budgets.py
@@ -236,6 +236,19 @@
     assert platform.audit.violations == []
 
 
+@pytest.mark.parametrize("seconds", [0.3, 1.0, 2.5])
+@pytest.mark.parametrize("commit_seconds", [0.02, 1.0])
+def test_no_lease_of_a_sound_worker_lapses_over_takeovers(
+    make, seconds, commit_seconds
+):
+    simulation, platform = serve(make, 3)
+    simulation.commit_seconds = commit_seconds
+    for _ in range(20):
+        take_over(simulation, platform)
+        simulation.advance(seconds)
+    assert {record.how for record in simulation.network.history} == {""}
+
+
 def running(simulation):
     """Return the workers that run tasks."""
     return [
