Keep an earlier leader's order unsettled when an own one is deferred

Found by reading: the intent of an own order replaces the replicated record of an earlier term's order, and from then on that order was taken as settled, also if the own one was deferred before it was sent. Change: the time until which the earlier one may be carried out is taken over before the intent is committed.

--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -281,7 +281,10 @@
         """
         if machine in self._ordering:
             return MachineVerdict.BUSY, False
-        self._unsettled_until.setdefault(machine, float("-inf"))
+        # The intent replaces the record of an earlier term's order.
+        self._unsettled_until[machine] = self.unsettled_until(
+            machine, guard.worker_began_at()
+        )
         self._ordering.add(machine)
         try:
             return await self._try_order(machine, intent, call, guard)
--- a/galenarill/coordinator/guards.py
+++ b/galenarill/coordinator/guards.py
@@ -24,6 +24,20 @@
     def allows(self) -> bool:
         """Return whether the order may end what runs on the machine now."""
 
+    def worker_began_at(self) -> float:
+        """Return when the machine's latest known worker began.
+
+        Returns:
+            Unix seconds, or negative infinity if no worker is known.
+        """
+        sessions = map(
+            self._leader.sessions.get, self._leader.workers_on(self._machine)
+        )
+        return max(
+            (session.report.born / 1000 for session in sessions if session),
+            default=float("-inf"),
+        )
+
     def describe_disrupted(self) -> list:
         """Describe the long-running tasks on the machine for a log line."""
         return self._leader.disruptions.describe(
--- a/galenarill/coordinator/tests/test_disruption_budgets.py
+++ b/galenarill/coordinator/tests/test_disruption_budgets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from galenarill.coordinator.guards import IdleGuard
 from galenarill.coordinator.tests.machines import start_wave, take_over
 from galenarill.jobs import OrderMaintenance
 from galenarill.pools import MachineState, MachineVerdict
@@ -236,6 +237,25 @@
     assert platform.audit.violations == []
 
 
+def test_a_deferred_order_settles_no_earlier_one(make):
+    """The earlier leader's order may still be carried out late."""
+
+    class Refusal(IdleGuard):
+        def allows(self):
+            return False
+
+    simulation, platform = serve(make, 2)
+    ordered_at = simulation.loop.time()
+    order = OrderMaintenance(1, "n0", "c0", ordered_at)
+    simulation.call(simulation.apply, [order])
+    take_over(simulation, platform)
+    simulation.advance(4)
+    guard = Refusal(simulation.leader, platform.machines["n0"])
+    verdict, _ = simulation.run(simulation.fleet.maintain("n0", 1, guard))
+    assert verdict is MachineVerdict.DEFERRED
+    assert simulation.loop.time() >= ordered_at + 12.0
+
+
 @pytest.mark.parametrize("seconds", [0.3, 1.0, 2.5])
 @pytest.mark.parametrize("commit_seconds", [0.02, 1.0])
 def test_no_lease_of_a_sound_worker_lapses_over_takeovers(
