Look for unsettled orders only while there may be any

While a long-running task waits, each round of placement looked up each worker's machine: 0.10 ms for 276 workers without any order (timed on this machine), up to 100 rounds a second, and in proportion to the fleet. Change: the fleet knows the latest moment at which an order without an answer or of an earlier term is settled; after it nothing is looked up. Machines with an order in flight are cordoned anyway.

--- a/galenarill/coordinator/disruptions.py
+++ b/galenarill/coordinator/disruptions.py
@@ -33,6 +33,10 @@
             negative infinity if no order is known.
         """
 
+    @abc.abstractmethod
+    def has_unsettled(self) -> bool:
+        """Return whether any order that isn't in flight may be unsettled."""
+
 
 class DisruptionMonitor:
     """Counts the tasks of long-running steps that serve."""
@@ -71,7 +75,15 @@
         }
 
     def unsettled_workers(self) -> frozenset[WorkerId]:
-        """Return the workers that an order on their machine may still end."""
+        """Return the workers that an order on their machine may still end.
+
+        Machines with an order in flight are cordoned already.
+        """
+        if (
+            self._machine_orders is None
+            or not self._machine_orders.has_unsettled()
+        ):
+            return frozenset()
         now = monotonic_now()
         return frozenset(
             worker
--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -99,6 +99,8 @@
         # Until when an attempt of this fleet's latest order on each machine may
         # still be carried out, on the monotonic clock.
         self._unsettled_until: dict[MachineId, float] = {}
+        # The latest of these times, and of those of earlier terms.
+        self._all_settled_at = self._created_at + MAX_ORDER_DELAY_SECONDS
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -219,6 +221,10 @@
             self._created_at + seconds,
         )
 
+    def has_unsettled(self) -> bool:
+        """Return whether any order that isn't in flight may be unsettled."""
+        return monotonic_now() < self._all_settled_at
+
     def mark_moving(self, machine: MachineId, pool: PoolId) -> None:
         """Record that a machine is moving to a pool."""
         self._moving[machine] = (pool, monotonic_now() + MOVE_TIMEOUT_SECONDS)
@@ -328,9 +334,8 @@
                     "fenced by another holder", extra={"machine": machine}
                 )
             if verdict is MachineVerdict.NO_ANSWER:
-                self._unsettled_until[machine] = (
-                    monotonic_now() + MAX_ORDER_DELAY_SECONDS
-                )
+                self._all_settled_at = monotonic_now() + MAX_ORDER_DELAY_SECONDS
+                self._unsettled_until[machine] = self._all_settled_at
             if verdict in (
                 MachineVerdict.NO_ANSWER,
                 MachineVerdict.RATE_LIMITED,
