Tell machines with an unreadable entry from those that are gone

Cause: with any unreadable entry in the list no missing machine counted as gone, so one odd entry that stays would have kept a wave with a removed machine open for good; an entry with an empty machine id was read. Change: the list names the machines whose entries can't be read; they are kept and never taken for gone. Only an entry without a readable id leaves the list incomplete. The guard of upkeep, the lookup of a machine's workers and the random plays read plainer.

--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -50,7 +50,6 @@
     Attributes:
         machines: Machines as last read from the platform, by id.
         read_at: When that request was sent, on the monotonic clock.
-        is_complete: Whether a machine that isn't listed is gone.
         cordoned_since: When each machine was cordoned for maintenance, in Unix
             seconds. A cordoned machine gets no new tasks.
     """
@@ -78,7 +77,6 @@
         """
         self.machines: dict[MachineId, Machine] = {}
         self.read_at = float("-inf")
-        self.is_complete = False
         self.cordoned_since: dict[MachineId, float] = {}
         self._term = term
         self._state = state
@@ -90,6 +88,9 @@
         self._created_at = monotonic_now()
         self._order_count = 0
         self._is_fenced = False
+        # Listed machines whose entry could not be read.
+        self._unreadable: frozenset[MachineId] = frozenset()
+        self._is_list_complete = False
         self._busy_until: dict[MachineId, float] = {}
         # Target pool and deadline of moves that the list does not show yet.
         self._moving: dict[MachineId, tuple[PoolId, float]] = {}
@@ -133,12 +134,16 @@
         sent_at = monotonic_now()
         listed = await self._client.list()
         self.read_at = sent_at
-        self.is_complete = listed.is_complete
-        machines = {machine.id: machine for machine in listed.machines}
-        if not listed.is_complete:
-            # The entries that could not be read may be of known machines.
-            machines = self.machines | machines
-        self.machines = machines
+        self._unreadable = listed.unreadable
+        self._is_list_complete = listed.is_complete
+        kept = {
+            machine_id: machine
+            for machine_id, machine in self.machines.items()
+            if not listed.is_complete or machine_id in listed.unreadable
+        }
+        self.machines = kept | {
+            machine.id: machine for machine in listed.machines
+        }
         for machine_id, (pool, deadline) in list(self._moving.items()):
             if self._is_shown(machine_id, pool) or sent_at > deadline:
                 del self._moving[machine_id]
@@ -150,6 +155,14 @@
             machine.pool == pool and machine.state is MachineState.UP
         )
 
+    def is_gone(self, machine: MachineId) -> bool:
+        """Return whether the list shows that a machine no longer exists."""
+        return (
+            self._is_list_complete
+            and machine not in self.machines
+            and machine not in self._unreadable
+        )
+
     def pool_of(self, machine: Machine) -> PoolId:
         """Return the pool that a machine is in or is moving to."""
         pool, _ = self._moving.get(machine.id, (machine.pool, 0.0))
@@ -279,9 +292,10 @@
             guard: Decides right before each attempt whether to send it.
 
         Returns:
-            The verdict, and whether it answers the first attempt. The answer
-            to a later attempt may be about the first one, which was carried
-            out before the machine's next worker started. The verdict is BUSY
+            The verdict, and whether it surely is about this attempt. The
+            answer to a later attempt, or after an unsettled order, may be about
+            an earlier one, which was carried out before the machine's next
+            worker started. The verdict is BUSY
             if the machine already has an order in flight, and DEFERRED if
             the guard doesn't allow it.
         """
--- a/galenarill/coordinator/guards.py
+++ b/galenarill/coordinator/guards.py
@@ -61,9 +61,11 @@
 
     def allows(self) -> bool:
         """Return whether every long-running task on the machine may end."""
-        return not any(
+        if any(
             self._leader.is_starting_on(worker)
             for worker in self._leader.workers_on(self._machine)
-        ) and self._leader.disruptions.allows_end_of(
+        ):
+            return False
+        return self._leader.disruptions.allows_end_of(
             self._leader.runs_on(self._machine)
         )
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -333,14 +333,8 @@
 
         The list may still name the worker before the current one.
         """
-        workers = {
-            session.report.worker
-            for session in self.sessions.values()
-            if session.report.machine == machine.id
-        }
-        if machine.worker:
-            workers.add(machine.worker)
-        return workers
+        workers = self.workers_by_machine().get(machine.id, set())
+        return workers | {machine.worker} if machine.worker else workers
 
     def runs_on(self, machine: Machine) -> list[TrackedRun]:
         """Return the runs on all workers of a machine."""
--- a/galenarill/coordinator/tests/disruption_plays.py
+++ b/galenarill/coordinator/tests/disruption_plays.py
@@ -22,17 +22,19 @@
         machines: Number of machines of the pool; a third as many are spare.
         seconds: Time with disruptions, in virtual seconds.
         log: Time and name of each disruption.
+        waves: Number of waves so far.
+        rng: Generator of every choice.
     """
 
     seed: int
     machines: int = 9
     seconds: float = 90.0
     log: list = dataclasses.field(default_factory=list)
+    waves: int = 0
 
     def __post_init__(self):
         """Seed the generator."""
         self.rng = random.Random(self.seed)
-        self.waves = 0
 
 
 def play(make, seed, **options):
--- a/galenarill/coordinator/tests/machines.py
+++ b/galenarill/coordinator/tests/machines.py
@@ -40,6 +40,7 @@
         lateness: Share of orders that get no answer and are carried out late.
         loss: Share of answers that are lost.
         down_seconds: Time for which a machine is down.
+        unreadable: Machines whose entries in the list can't be read.
         audit: Check of what orders end.
     """
 
@@ -55,6 +56,7 @@
         self.lateness = 0.0
         self.loss = 0.0
         self.down_seconds = down_seconds
+        self.unreadable = set()
         self.audit = DisruptionAudit(simulation)
         self._simulation = simulation
         self._rng = random.Random(len(pools))
@@ -78,7 +80,10 @@
     async def list(self):
         """Return all machines."""
         await asyncio.sleep(0.01)
-        return MachineList(list(self.machines.values()))
+        return MachineList(
+            [m for m in self.machines.values() if m.id not in self.unreadable],
+            frozenset(self.unreadable),
+        )
 
     async def move(self, machine, pool, holder, token):
         """Move a machine to a pool."""
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -44,6 +44,19 @@
     assert now.count("other") == 1
 
 
+def test_a_machine_with_an_unreadable_entry_is_not_taken_for_gone(make):
+    simulation, machines = make({f"n{n}": "pool" for n in range(2)})
+    machines.unreadable = {"n0"}
+    take_over(simulation, machines)
+    start_wave(simulation, ["n0", "n1", "gone"], max_machines_down=1)
+    simulation.advance(10)
+    assert simulation.state.waves[1].finished == {"n1", "gone"}
+    machines.unreadable.clear()
+    simulation.advance(10)
+    assert simulation.state.waves[1].is_completed
+    assert machines.maintained == {"n0", "n1"}
+
+
 def test_tokens_rise_with_each_order(make):
     pools = {f"m{n}": "spare" for n in range(6)} | {"n0": "pool"}
     simulation, machines = make(pools, seconds_of=lambda *_: (4.0, "done"))
--- a/galenarill/coordinator/waves.py
+++ b/galenarill/coordinator/waves.py
@@ -76,11 +76,11 @@
             acknowledged_at = self._acknowledged_at.get((number, machine_id))
             if self._is_finished(number, wave, machine_id):
                 continue
-            if machine is None:
-                if self._fleet.is_complete:
-                    self._finish(number, machine_id, "it is gone")
+            if self._fleet.is_gone(machine_id):
+                self._finish(number, machine_id, "it is gone")
             elif (
-                acknowledged_at is not None
+                machine is not None
+                and acknowledged_at is not None
                 and self._fleet.read_at > acknowledged_at
                 and machine.state is MachineState.UP
             ):
--- a/galenarill/platform/machine_client.py
+++ b/galenarill/platform/machine_client.py
@@ -51,6 +51,10 @@
     id: str | None = None
 
 
+class _MachineId(msgspec.Struct):
+    machine: str
+
+
 class _Page(msgspec.Struct):
     # Decoded one by one: one odd entry must not hide the others.
     machines: list[msgspec.Raw]
@@ -85,7 +89,8 @@
                 follows itself.
         """
         machines: list[Machine] = []
-        unreadable = 0
+        unreadable: set[MachineId] = set()
+        is_complete = True
         page_token = None
         page_tokens = set()
         while True:
@@ -107,14 +112,18 @@
                 try:
                     machines.append(_decode_machine(raw))
                 except ProtocolError as error:
-                    unreadable += 1
+                    machine_id = _decode_id(raw)
+                    if machine_id:
+                        unreadable.add(machine_id)
+                    else:
+                        is_complete = False
                     logger.warning(
                         "entry of the machine list skipped",
-                        extra={"why": str(error)},
+                        extra={"machine": machine_id, "why": str(error)},
                     )
             page_token = page.next_token
             if not page_token:
-                return MachineList(machines, not unreadable)
+                return MachineList(machines, frozenset(unreadable), is_complete)
             if page_token in page_tokens:
                 raise MachineListError(
                     f"page {page_token!r} of the machine list follows itself"
@@ -180,14 +189,24 @@
             return 0, b""
 
 
+def _decode_id(data: msgspec.Raw) -> MachineId | None:
+    """Return the id in an entry that can't be read otherwise, or None."""
+    try:
+        text = msgspec.json.decode(data, type=_MachineId).machine
+    except _DECODE_ERRORS:
+        return None
+    return MachineId(text) if is_id(text) else None
+
+
 def _decode_machine(data: msgspec.Raw) -> Machine:
     try:
         raw = msgspec.json.decode(data, type=_Machine)
     except _DECODE_ERRORS as error:
         raise ProtocolError(str(error)) from error
-    for text in (raw.machine, raw.id):
-        if text and not is_id(text):
-            raise ProtocolError(f"not an id: {text[:80]!r}")
+    if not is_id(raw.machine):
+        raise ProtocolError(f"not an id of a machine: {raw.machine[:80]!r}")
+    if raw.id and not is_id(raw.id):
+        raise ProtocolError(f"not an id of a worker: {raw.id[:80]!r}")
     return Machine(
         MachineId(raw.machine),
         PoolId(raw.pool),
--- a/galenarill/platform/tests/test_odd_entries.py
+++ b/galenarill/platform/tests/test_odd_entries.py
@@ -237,21 +237,24 @@
 
 
 @pytest.mark.parametrize(
-    "odd",
+    ("odd", "unreadable"),
     [
-        '{"machine":"m-2","capacity":{"cpu":1e400}}',
-        json.dumps(MACHINE | {"machine": "m-2", "state": "odd"}),
-        json.dumps(MACHINE | {"machine": "m\n2"}),
-        '{"machine":7}',
-        "[]",
-        '"\xff"',
+        ('{"machine":"m-2","capacity":{"cpu":1e400}}', {"m-2"}),
+        (json.dumps(MACHINE | {"machine": "m-2", "state": "odd"}), {"m-2"}),
+        (json.dumps(MACHINE | {"machine": "m-2", "id": "i 2"}), {"m-2"}),
+        (json.dumps(MACHINE | {"machine": "m\n2"}), set()),
+        (json.dumps(MACHINE | {"machine": ""}), set()),
+        ('{"machine":7}', set()),
+        ("[]", set()),
+        ('"\xff"', set()),
     ],
 )
-def test_an_odd_entry_hides_no_other_machine(monkeypatch, odd):
+def test_an_odd_entry_hides_no_other_machine(monkeypatch, odd, unreadable):
     page = f'{{"machines":[{odd},{json.dumps(MACHINE)}]}}'.encode("latin-1")
     listed = list_machines(monkeypatch, page)
     assert [machine.id for machine in listed.machines] == ["m-1"]
-    assert not listed.is_complete
+    assert listed.unreadable == unreadable
+    assert listed.is_complete == bool(unreadable)
 
 
 def test_a_page_that_follows_itself_ends_the_list(monkeypatch):
--- a/galenarill/pools/machines.py
+++ b/galenarill/pools/machines.py
@@ -59,11 +59,13 @@
 
     Attributes:
         machines: Machines whose entries could be read.
-        is_complete: Whether every entry could be read, so that a machine that
-            isn't listed is gone.
+        unreadable: Machines whose entries could not be read.
+        is_complete: Whether every entry names its machine, so that a machine
+            that isn't listed is gone.
     """
 
     machines: list[Machine]
+    unreadable: frozenset[MachineId] = frozenset()
     is_complete: bool = True
 
 
