Take no answer after an unsettled order for one about the current worker

Cause: the first attempt of an order may be answered with done since an earlier leader's order of the same kind was carried out just before; its machine's next worker was then taken for ended, and its runs started elsewhere (TWICE). Found by reading. Change: the answer counts as surely first only if no earlier order on the machine was unsettled.

--- a/galenarill/coordinator/fleet.py
+++ b/galenarill/coordinator/fleet.py
@@ -319,20 +319,23 @@
         guard: OrderGuard,
     ) -> tuple[MachineVerdict, bool]:
         planned_at = monotonic_now()
+        # The answer to any attempt may be about an earlier, unsettled order.
+        was_settled = self._unsettled_until[machine] <= planned_at
         tries = 0
         while True:
             if (
-                not guard.allows()
+                tries
+                and not guard.allows()
                 and monotonic_now() < self._unsettled_until[machine]
             ):
-                # An attempt without an answer may still be carried out.
+                # Reserved for the order: an attempt may still be carried out.
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             await self._propose(msgspec.structs.replace(intent, at=wall_now()))
             if not self.may_order:
                 return MachineVerdict.BUSY, False
             if not guard.allows():
-                if monotonic_now() < self._unsettled_until[machine]:
+                if tries and monotonic_now() < self._unsettled_until[machine]:
                     continue
                 self._log_deferred(machine, tries, guard)
                 return MachineVerdict.DEFERRED, False
@@ -366,7 +369,7 @@
                 self._busy_until[machine] = (
                     monotonic_now() + BUSY_BACKOFF_SECONDS
                 )
-            return verdict, tries == 1
+            return verdict, tries == 1 and was_settled
 
     def _log_attempt(
         self,
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -7,7 +7,7 @@
     start_wave,
     take_over,
 )
-from galenarill.jobs import JobStatus, OrderMaintenance
+from galenarill.jobs import JobStatus, MoveMachine, OrderMaintenance
 from galenarill.pools import MachineVerdict
 
 
@@ -44,6 +44,23 @@
     assert now.count("other") == 1
 
 
+def test_an_answer_after_an_unsettled_order_may_be_about_that_one(make):
+    """The earlier leader's move may have been carried out just now."""
+    simulation, machines = make({"n0": "pool", "n1": "pool", "s0": "spare"})
+    now = simulation.loop.time()
+    earlier = MoveMachine("n0", "spare", "c0", now)
+    simulation.call(simulation.apply, [earlier])
+    take_over(simulation, machines)
+    simulation.advance(4)
+    fleet = simulation.fleet
+    for name, is_surely_first in (("n0", False), ("n1", True)):
+        guard = IdleGuard(simulation.leader, machines.machines[name])
+        assert simulation.run(fleet.move(name, "spare", guard)) == (
+            MachineVerdict.DONE,
+            is_surely_first,
+        )
+
+
 def test_a_machine_with_an_unreadable_entry_is_not_taken_for_gone(make):
     simulation, machines = make({f"n{n}": "pool" for n in range(2)})
     machines.unreadable = {"n0"}
