--- a/review/support/case.py
+++ b/review/support/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -173,6 +174,11 @@
     record = Record(folder / "record.txt")
 
     async def play() -> int:
+        # A run that is ended early still ends all processes that it started.
+        playing = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, playing.cancel)
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             case = Case(pathlib.Path(temporary), record)
             try:
@@ -190,7 +196,7 @@
 
     try:
         result = asyncio.run(play())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         result = COULD_NOT_RUN
     sys.exit(result)
