review: a step waits for good with more than 30 workers (LOST)

Cause: the policy service is always asked about the same first 30 workers of a pool; those that it allows may be among the others. No code of the project is changed.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,77 +1,56 @@
-"""A gateway freezes with calls on their way while their key is taken away."""
+"""Two of four workers that a policy allows are lost for good."""
 
 import asyncio
 import pathlib
-import signal
-import time
 
-from review.support.case import HOST, KEY, PREFIX, configuration, main
-from review.support.system import FRONT_PORT
-
-ROUNDS = 4
-JOBS = 60
-SPREAD_SECONDS = 0.06
-FREEZE_AFTER_SECONDS = 0.04
-FREEZE_SECONDS = 1.0
-KEYS = [KEY, "jbvk9m68k7b2ex5wa5xw"]
-TASK = {"count": 1, "cpu": 1, "mem_mb": 1}
+from review.support.case import configuration, main, route
+from review.support.platform import (
+    DECIDE_MS,
+    EACH_MS,
+    VALID_MS,
+    Policy,
+)
+
+EARLIER_JOB = "1d94b36f85c0e7a2"
+JOB = "5c0e7a21d94b36f8"
+WORKERS = 36
+NAMES = [f"i-{number:02}" for number in range(1, WORKERS + 1)]
+LOST = NAMES[:2]
+LEFT = NAMES[-2:]
+TASK = {"count": 1, "cpu": 1000, "mem_mb": 256}
+WAIT_SECONDS = 20.0
+# `contact_ms` and `max_hold_ms`, and the 3 s of the rule.
+LIMIT_SECONDS = 3.0 + 6.0 + 3.0
 
 
 async def scenario(case):
-    """Freeze a gateway and take a key away before it wakes, four times."""
-    await case.set_up({"i-1": {}, "i-2": {}}, lambda *_: (0.5, "done"))
-    gateway = case.system.fronts[0]
-    attempts = {}
-
-    async def hand_in(key, number):
-        await asyncio.sleep(number % JOBS * SPREAD_SECONDS / JOBS)
-        job = f"{number:016x}"
-        status, _ = await case.callers.call(
-            "POST",
-            f"http://{gateway}:{FRONT_PORT}{PREFIX}{job}",
-            {"spec": "review", "steps": [TASK]},
-            {
-                "Host": HOST,
-                "Authorization": f"Bearer {key}",
-                "X-Galenarill-Deadline-Ms": "3000",
-            },
-        )
-        attempts[job] = status
-        case.record.note(f"POST {job}: {status}")
-
-    for number in range(ROUNDS):
-        calls = [
-            asyncio.create_task(hand_in(KEYS[number % 2], number * JOBS + n))
-            for n in range(JOBS)
-        ]
-        await asyncio.sleep(FREEZE_AFTER_SECONDS)
-        if case.trouble:
-            case.system.signal(gateway, signal.SIGSTOP)
-            case.record.note(f"gateway {gateway} freezes")
-            frozen_at = time.monotonic()
-        # The key is taken away; in the next round clients use the other one.
-        replaced = configuration(8 + number)
-        replaced["tenants"][0]["api_keys"] = [KEYS[1 - number % 2]]
-        if not case.trouble:
-            await asyncio.gather(*calls)
-        await case.callers.configure(replaced)
-        if case.trouble:
-            await asyncio.sleep(frozen_at + FREEZE_SECONDS - time.monotonic())
-            case.system.signal(gateway, signal.SIGCONT)
-            case.record.note(f"gateway {gateway} wakes")
-            await asyncio.gather(*calls)
-        await asyncio.sleep(4.0)
-    begun = {start.task.partition(".")[0] for start in case.starts}
-    refused = {
-        job
-        for job, status in attempts.items()
-        if status in (401, 404, 429, 503)
-    }
-    case.record.note(f"{len(refused)} refused, {len(begun)} begun")
+    """Lose two allowed workers, and hand in a job that two others may run."""
+    policy = Policy({*LOST, *LEFT}, case.record)
+    first = {name: {} for name in NAMES if name not in LEFT}
+    await case.set_up(first, lambda *_: (1.0, "done"), policy)
+    await case.add_workers({name: {} for name in LEFT})
+    for worker in case.workers.values():
+        worker.ticket_of = Policy.ticket
+    advice = {"decide_ms": DECIDE_MS, "each_ms": EACH_MS, "valid_ms": VALID_MS}
+    await case.callers.configure(configuration(5, [route(advice=advice)]))
+    await asyncio.sleep(3.0)
+    await case.submit(EARLIER_JOB, [TASK])
+    await case.until(lambda: case.starts, 10, "a start of the earlier job")
+    await asyncio.sleep(3.0)
+    if case.trouble:
+        for name in LOST:
+            case.workers[name].crash()
+        await asyncio.sleep(LIMIT_SECONDS)
+    status = await case.submit(JOB, [TASK])
+    if status != 200:
+        return [f"the job was not accepted: {status}"]
+    await asyncio.sleep(WAIT_SECONDS)
+    status, state = await case.state(JOB)
+    if any(start.task.startswith(JOB) for start in case.starts):
+        return []
     return [
-        f"REFUSED: {job} was handed in once and answered {attempts[job]}, and"
-        " its task was started"
-        for job in sorted(begun & refused)
+        f"LOST: {JOB} is answered {status} {state}, and had nothing running for"
+        f" {WAIT_SECONDS} s while {LEFT}, which may run it, were idle"
     ]
 
 
--- a/review/support/case.py
+++ b/review/support/case.py
@@ -96,16 +96,31 @@
         self.starts: list[Start] = []
         self._folder = folder
 
-    async def set_up(self, worker_options: dict[str, dict], outcome_of):
+    async def set_up(
+        self, worker_options: dict[str, dict], outcome_of, policy=None
+    ):
         """Start processes and workers, and apply the first configuration."""
+        self.policy = policy
+        if policy is not None:
+            await policy.listen()
         self.session = aiohttp.ClientSession()
         self._machines_of: list[Worker] = []
         self.machines = Machines(self._machines_of, SERVICE)
         await self.machines.listen()
-        self.system = System(self._folder, self.machines.address)
+        self.system = System(
+            self._folder,
+            self.machines.address,
+            policy.address if policy is not None else "",
+        )
         await self.system.start()
         self.callers = Callers(self.session, self.system, self.record)
         await self.callers.configure(configuration(3))
+        self._outcome_of = outcome_of
+        await self.add_workers(worker_options)
+        await asyncio.sleep(3.0)
+
+    async def add_workers(self, worker_options: dict[str, dict]) -> None:
+        """Start more workers."""
         for name, options in worker_options.items():
             worker = Worker(
                 name,
@@ -113,14 +128,13 @@
                 self.system.controls,
                 self.record,
                 self.starts,
-                outcome_of,
+                self._outcome_of,
                 **options,
             )
             self.workers[name] = worker
             self._machines_of.append(worker)
             await worker.listen(self.session)
             worker.begin()
-        await asyncio.sleep(3.0)
 
     async def tear_down(self) -> None:
         """End all processes and stand-ins."""
@@ -131,6 +145,8 @@
         if hasattr(self, "session"):
             await self.machines.close()
             await self.session.close()
+            if self.policy is not None:
+                await self.policy.close()
 
     async def submit(self, job: str, steps: list[dict]) -> int:
         """Hand in a job, again while there is no clear response."""
--- a/review/support/platform.py
+++ b/review/support/platform.py
@@ -17,6 +17,10 @@
 MAX_HOLD_MS = 6000
 STOP_SECONDS = 0.2
 MAX_LISTED_ENDS = 500
+# Costs of the policy service, and how long its tickets are valid.
+DECIDE_MS = 5
+EACH_MS = 1
+VALID_MS = 3000
 CONFIG_PATH = "/galenarill/config"
 
 
@@ -90,6 +94,8 @@
         """
         self.id = worker
         self.is_up = False
+        # What starts must carry, or None if any start is accepted.
+        self.ticket_of = None
         self.state = "ready"
         self.control = controls[0]
         self._service = service
@@ -304,6 +310,10 @@
         if body["until_ms"] <= self.clock_ms:
             return self._answer(409, reason="late")
         self._extend(body["until_ms"])
+        if self.ticket_of is not None:
+            step = name.rpartition(".")[0]
+            if body.get("ticket") != self.ticket_of(step, self.id):
+                return self._answer(409, reason="ticket")
         start = Start(name, run, self.id, time.monotonic())
         self._starts.append(start)
         self._record.note(f"{self.id} {name} run {run} starts")
@@ -403,6 +413,49 @@
         )
 
 
+class Policy:
+    """The policy service: knows which workers may run a step."""
+
+    def __init__(self, allowed: set[str], record: Record):
+        """Create a service that allows some workers, for every step."""
+        self._allowed = allowed
+        self._record = record
+        self._turn = asyncio.Lock()
+        self._runner: web.ServerRunner | None = None
+        self.address = ""
+
+    @staticmethod
+    def ticket(step: str, worker: str) -> str:
+        """Return the ticket for a step on a worker."""
+        return f"t-{step}-{worker}"
+
+    async def listen(self) -> None:
+        """Start to listen on a free port."""
+        self._runner = web.ServerRunner(web.Server(self._serve))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def _serve(self, request: web.BaseRequest) -> web.Response:
+        body = json.loads(await request.read())
+        step, workers = body["step"], body["workers"]
+        async with self._turn:
+            await asyncio.sleep((DECIDE_MS + EACH_MS * len(workers)) / 1000)
+        good = [
+            [w, self.ticket(step, w)] for w in workers if w in self._allowed
+        ]
+        allowed = [worker for worker, _ in good]
+        self._record.note(
+            f"advise {step}: asked on {len(workers)}, good {allowed}"
+        )
+        return web.json_response({"good": good, "valid_ms": VALID_MS})
+
+
 class Callers:
     """Calls of clients and of the operator."""
 
--- a/review/support/system.py
+++ b/review/support/system.py
@@ -69,16 +69,24 @@
 class System:
     """Three coordinators and some gateways on loopback addresses."""
 
-    def __init__(self, folder: pathlib.Path, cloud: str, gateways: int = 2):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        cloud: str,
+        advice: str = "",
+        gateways: int = 2,
+    ):
         """Choose addresses; `start` starts the processes.
 
         Args:
             folder: Folder for settings, disks and logs.
             cloud: Address of the platform's machine interface.
+            advice: Address of the policy service, or "".
             gateways: Number of gateways.
         """
         self._folder = folder
         self._cloud = cloud
+        self._advice = advice
         subnet = _free_subnet()
         self.cores = [f"{subnet}.{n}" for n in (1, 2, 3)]
         self.fronts = [f"{subnet}.{n + 11}" for n in range(gateways)]
@@ -118,7 +126,7 @@
                 "ready": f"{ip}:{READY_PORT}",
             },
             "cloud": {"address": self._cloud},
-            "advice": "",
+            "advice": self._advice,
             "fault_tolerance": {"machines": 1, "zones": 1},
             "bounds": BOUNDS,
         }
