--- a/review/support/platform.py
+++ b/review/support/platform.py
@@ -17,6 +17,8 @@
 MAX_HOLD_MS = 6000
 STOP_SECONDS = 0.2
 MAX_LISTED_ENDS = 500
+# How long a call to a machine without power stays open, in seconds.
+SILENT_SECONDS = 10.0
 # Costs of the policy service, and how long its tickets are valid.
 DECIDE_MS = 5
 EACH_MS = 1
@@ -94,6 +96,8 @@
         """
         self.id = worker
         self.is_up = False
+        self.born = 0
+        self._is_dark = False
         # What starts must carry, or None if any start is accepted.
         self.ticket_of = None
         self.state = "ready"
@@ -144,8 +148,14 @@
         self._beat = asyncio.create_task(self._beat_forever())
         self._expiry = asyncio.create_task(self._expire_forever())
 
-    def crash(self) -> None:
-        """End the current life without a word."""
+    def crash(self, *, is_dark: bool = False) -> None:
+        """End the current life without a word.
+
+        Args:
+            is_dark: Whether calls get no answer from then on, as from a machine
+                without power. Otherwise their connections are reset.
+        """
+        self._is_dark = is_dark
         if not self.is_up:
             return
         self._record.note(f"{self.id} ends")
@@ -271,8 +281,7 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if not self.is_up:
-            request.transport.abort()
-            return web.Response(status=503)
+            return await self._no_answer(request)
         expected = request.headers.get("X-Galenarill-Expect-Instance")
         if expected not in (None, self.id):
             return web.Response(status=421)
@@ -282,13 +291,17 @@
         if body.get("fence", 0) < self._fence:
             return self._answer(409, reason="fence")
         self._fence = body.get("fence", 0)
+        born = self.born
         match request.path:
             case "/galenarill/run-start":
                 return self._start(body)
             case "/galenarill/run-stop":
                 return self._order_stop(body)
             case "/galenarill/hold":
-                return await self._hold(body)
+                await self._wait_for_end(body)
+                if not self.is_up or self.born != born:
+                    return await self._no_answer(request)
+                return self._lists()
             case "/galenarill/pace":
                 return self._answer(200)
         return web.Response(status=404)
@@ -331,7 +344,16 @@
             self._running[name] = (current[0], current[1], work)
         return self._answer(200)
 
-    async def _hold(self, body: dict) -> web.Response:
+    async def _no_answer(self, request: web.BaseRequest) -> web.Response:
+        """Leave a call to a life that has ended without an answer."""
+        if self._is_dark or self.is_up:
+            await asyncio.sleep(SILENT_SECONDS)
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=503)
+
+    async def _wait_for_end(self, body: dict) -> None:
+        """Carry out the orders of a hold, and wait for an end."""
         self._extend(body.get("until_ms"))
         seen = body["seen_upto"]
         for number, start in self._ended:
@@ -347,8 +369,9 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(body["wait_ms"] / 1000):
                     await self._has_ended.wait()
-        if not self.is_up:
-            return web.Response(status=503)
+
+    def _lists(self) -> web.Response:
+        """Answer with what runs and what has ended."""
         running = [
             [name, start.run, "", self._percent(start), 1000]
             for name, (start, *_) in self._running.items()
