--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,8 @@
 from review.support.cut import CutPath
 
 JOB = "5c0e7a21d94b36f8"
+WORKERS = 6
+COORDINATORS = 4
 TASK_SECONDS = 9.0
 CUT_SECONDS = 4.0
 LEAVE_SECONDS = 2.0
@@ -15,7 +17,11 @@
 
 async def scenario(case):
     """Cut one path while a worker leaves and starts again."""
-    await case.set_up({"i-1": {}, "i-2": {}}, lambda *_: (TASK_SECONDS, "done"))
+    await case.set_up(
+        {f"i-{number}": {} for number in range(1, WORKERS + 1)},
+        lambda *_: (TASK_SECONDS, "done"),
+        coordinators=COORDINATORS,
+    )
     leader = await case.system.leader(case.session)
     follower = next(ip for ip in case.system.cores if ip != leader)
     path = CutPath(f"{follower}:8345")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,6 +8,7 @@
 from review.support.case import HOST, KEY, PREFIX, configuration, main
 from review.support.system import FRONT_PORT
 
+GATEWAYS = 8
 ROUNDS = 4
 JOBS = 60
 SPREAD_SECONDS = 0.06
@@ -19,7 +20,11 @@
 
 async def scenario(case):
     """Freeze a gateway and take a key away before it wakes, four times."""
-    await case.set_up({"i-1": {}, "i-2": {}}, lambda *_: (0.5, "done"))
+    await case.set_up(
+        {"i-1": {}, "i-2": {}},
+        lambda *_: (0.5, "done"),
+        gateways=GATEWAYS,
+    )
     gateway = case.system.fronts[0]
     attempts = {}
 
--- a/review/support/case.py
+++ b/review/support/case.py
@@ -97,7 +97,11 @@
         self._folder = folder
 
     async def set_up(
-        self, worker_options: dict[str, dict], outcome_of, policy=None
+        self,
+        worker_options: dict[str, dict],
+        outcome_of,
+        policy=None,
+        **sizes: int,
     ):
         """Start processes and workers, and apply the first configuration."""
         self.policy = policy
@@ -111,6 +115,7 @@
             self._folder,
             self.machines.address,
             policy.address if policy is not None else "",
+            **sizes,
         )
         await self.system.start()
         self.callers = Callers(self.session, self.system, self.record)
--- a/review/support/system.py
+++ b/review/support/system.py
@@ -67,7 +67,7 @@
 
 
 class System:
-    """Three coordinators and some gateways on loopback addresses."""
+    """Some coordinators and gateways on loopback addresses."""
 
     def __init__(
         self,
@@ -75,6 +75,7 @@
         cloud: str,
         advice: str = "",
         gateways: int = 2,
+        coordinators: int = 3,
     ):
         """Choose addresses; `start` starts the processes.
 
@@ -83,12 +84,14 @@
             cloud: Address of the platform's machine interface.
             advice: Address of the policy service, or "".
             gateways: Number of gateways.
+            coordinators: Number of coordinators, the first three of which are
+                the seeds.
         """
         self._folder = folder
         self._cloud = cloud
         self._advice = advice
         subnet = _free_subnet()
-        self.cores = [f"{subnet}.{n}" for n in (1, 2, 3)]
+        self.cores = [f"{subnet}.{n}" for n in range(1, coordinators + 1)]
         self.fronts = [f"{subnet}.{n + 11}" for n in range(gateways)]
         self.controls = [f"{ip}:{CONTROL_PORT}" for ip in self.cores]
         self.processes: dict[str, asyncio.subprocess.Process] = {}
@@ -116,7 +119,7 @@
             "ip": ip,
             "zone": zones[int(ip[-1]) % 3],
             "port_range": [LINK_PORT, METRICS_PORT],
-            "seeds": self.controls,
+            "seeds": self.controls[:3],
             "bootstrap": bootstrap,
             "data_dir": str(data) if is_core else None,
             "listen": {"control": f"{ip}:{CONTROL_PORT}"}
