--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -30,7 +30,8 @@
 )
 from galenarill.workers import WorkerRegistry
 from standins.virtual_time import VirtualTimeLoop
-from standins.workers import MAX_LEASE_SECONDS, FakeWorkers
+from standins.worker_network import FakeWorkers
+from standins.workers import MAX_LEASE_SECONDS
 
 COMMIT_SECONDS = 0.02
 ONE = Resources(1)
