Keep the drain of a worker's latest incarnation

Cause: DrainWorker replaced the committed incarnation whatever its start, so a delayed draining report of an earlier incarnation put a later one, which drains, back into use for the next leader. The later start is kept, and such a report is answered without a commit.

test_a_late_report_of_an_earlier_drain_leaves_the_later_one_in_force failed on (a start was sent), passes now.

--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -188,7 +188,8 @@
 
     async def _drain(self, call: int, request: msg.ReportWorker) -> Reply:
         report = request.report
-        if self._state.draining.get(report.worker) != report.born:
+        # A late report may be of an earlier incarnation.
+        if self._state.draining.get(report.worker, -1) < report.born:
             await self._propose(DrainWorker(report.worker, report.born))
             logger.info(
                 "worker drains",
--- a/galenarill/coordinator/tests/test_worker_restarts.py
+++ b/galenarill/coordinator/tests/test_worker_restarts.py
@@ -4,6 +4,7 @@
 
 from galenarill.coordinator.tests.simulation import Simulation
 from galenarill.coordinator.tests.test_leader_machine import LeaderMachine
+from galenarill.jobs import DrainWorker
 
 
 def test_every_job_ends_after_a_restart_during_the_commit_of_a_start():
@@ -124,3 +125,21 @@
     assert {begun.worker for begun in simulation.network.history} == {"w0"}
     assert len(simulation.network.orders) == 12
     simulation.close()
+
+
+def test_a_late_report_of_an_earlier_drain_leaves_the_later_one_in_force():
+    """Guards against starts on a draining worker after a takeover."""
+    simulation = Simulation(workers=1)
+    simulation.advance(1.0)
+    earlier = simulation.network.workers["w0:1"].report
+    simulation.restart_worker("w0")
+    simulation.advance(1.0)
+    later = simulation.network.workers["w0:1"].report
+    for report in (later, earlier):
+        simulation.call(
+            simulation.apply, [DrainWorker(report.worker, report.born)]
+        )
+    simulation.submit("j", 1)
+    simulation.advance(2.0)
+    assert not simulation.network.orders
+    simulation.close()
--- a/galenarill/jobs/state.py
+++ b/galenarill/jobs/state.py
@@ -158,7 +158,7 @@
                         self.jobs.pop(job, None)
                         changed_jobs.add(job)
                 case cmd.DrainWorker():
-                    self.draining[command.worker] = command.born
+                    self._drain(command)
                 case cmd.StartWave():
                     self.waves.setdefault(
                         command.wave,
@@ -189,6 +189,10 @@
         # Latest order by machine.
         self.orders = snapshot.orders
 
+    def _drain(self, command: cmd.DrainWorker) -> None:
+        born = self.draining.get(command.worker, command.born)
+        self.draining[command.worker] = max(born, command.born)
+
     def _order_maintenance(self, command: cmd.OrderMaintenance) -> None:
         # An error here would end every coordinator that applies the entry.
         if command.wave in self.waves:
