Take a worker's departure as a hint until an answer confirms it

Cause: a DELETE names no incarnation. Coordinators took it for the newest one. The leader dropped its session, which holds the end of the lease, so its runs counted as lost at the next tick; the registry ignored all later reports of that incarnation.

Fix: renewals go on after the notice. Lists of the same incarnation withdraw it; a refused connection or another worker at the address confirms it; otherwise the lease decides. The registry accepts a departed worker again when it reports with a higher number. Only these prove that a run has ended, so no late notice can start a task twice.

--- a/galenarill/cluster/messages.py
+++ b/galenarill/cluster/messages.py
@@ -102,9 +102,16 @@
 
 
 class WorkerLeft(msgspec.Struct, frozen=True, array_like=True, tag="wl"):
-    """Forwards the notice that a worker has left."""
+    """Forwards the notice that a worker has left.
+
+    Attributes:
+        worker: Id of the worker.
+        born: Start of the latest incarnation that the coordinator knew when it
+            received the notice, in Unix milliseconds, or None.
+    """
 
     worker: WorkerId
+    born: int | None = None
 
 
 class BeginWave(msgspec.Struct, frozen=True, array_like=True, tag="ob"):
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -198,14 +198,12 @@
         """Handle the latest report of a worker."""
         self._lease_renewer.note_report(report)
 
-    def note_left(self, report: WorkerReport) -> None:
-        """Handle the departure of a worker."""
-        self._crash_monitor.note_left(Incarnation(report.worker, report.born))
-        session = self.sessions.get(report.worker)
-        if session is None or session.report.born != report.born:
-            return
-        self._lease_renewer.drop_session(session, "it has left")
-        self._context.spawn(self._end_committer.end_lost_runs_later(report))
+    def note_left(self, incarnation: Incarnation) -> None:
+        """Handle the notice that an incarnation of a worker has left."""
+        if self.incarnation_of(incarnation.worker) == incarnation:
+            self._lease_renewer.note_departure(
+                self.sessions[incarnation.worker]
+            )
 
     def note_applied(self, changed_jobs: set[JobId]) -> None:
         """Handle changes to the state of jobs."""
@@ -299,7 +297,7 @@
             return
         self._crash_monitor.note_left(incarnation)
         session = self.sessions[incarnation.worker]
-        self._registry.note_left(incarnation.worker)
+        self._registry.note_left(*incarnation)
         self._lease_renewer.drop_session(session, why)
         self._context.spawn(
             self._end_committer.end_lost_runs_later(session.report)
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -34,7 +34,7 @@
 from galenarill.coordinator.service import CoordinatorService
 from galenarill.coordinator.waves import WaveRunner
 from galenarill.errors import ProtocolError
-from galenarill.jobs import ClusterState, decode_commands
+from galenarill.jobs import ClusterState, Incarnation, decode_commands
 from galenarill.links import Mesh
 from galenarill.pools import MachineClient
 from galenarill.settings import NodeSettings
@@ -229,9 +229,10 @@
 
     def note_left(self, worker: WorkerId) -> None:
         """Handle a worker's departure and tell the other coordinators."""
-        self._apply_departure(worker)
+        notice = WorkerLeft(worker, self._registry.latest_born(worker))
+        self._apply_departure(notice)
         for peer in self._coordinators:
-            self._mesh.send(peer, WorkerLeft(worker))
+            self._mesh.send(peer, notice)
 
     def _send(self, peer: VmId, message) -> bool:
         return self._mesh.send(peer, message)
@@ -280,10 +281,15 @@
             known.name == pool for known in configuration.pools
         )
 
-    def _apply_departure(self, worker: WorkerId) -> None:
-        report = self._registry.note_left(worker)
-        if report is not None and self._leader is not None:
-            self._leader.note_left(report)
+    def _apply_departure(self, notice: WorkerLeft) -> None:
+        worker, born = notice.worker, notice.born
+        if born is None:
+            born = self._registry.latest_born(worker)
+        if born is None:
+            return
+        self._registry.note_left(worker, born)
+        if self._leader is not None:
+            self._leader.note_left(Incarnation(worker, born))
 
     def _on_link(self, peer: VmId, is_up: bool) -> None:
         self._leader_client.record_link(peer, is_up)
@@ -304,7 +310,7 @@
             case ReportWorker():
                 self._apply_report(message.report)
             case WorkerLeft():
-                self._apply_departure(message.worker)
+                self._apply_departure(message)
             case _:
                 self._replica.add_peer(peer)
                 self._driver.receive(peer, message)
--- a/galenarill/coordinator/orders.py
+++ b/galenarill/coordinator/orders.py
@@ -186,7 +186,9 @@
             case Verdict.NO_ANSWER:
                 run.has_unanswered_start = True
                 return False
-            case Verdict.FENCED | Verdict.OTHER_INCARNATION:
+            case (
+                Verdict.FENCED | Verdict.OTHER_INCARNATION | Verdict.NO_LISTENER
+            ):
                 return False
             case Verdict.OLD:
                 # The worker lists its end, unless it never ran.
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -472,6 +472,7 @@
             session.is_synced
             and not session.has_unknown_runs
             and not session.is_provisional
+            and session.departure_noted_at is None
             and session.answered_at > now - ANSWER_SECONDS
             and not self._context.is_draining(session)
             and report.machine not in self._cordons
--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -83,6 +83,15 @@
         self._replace_others_on_machine(report)
         self._open_session(WorkerSession(report, self._context.began_at))
 
+    def note_departure(self, session: WorkerSession) -> None:
+        """Handle the notice that a worker has left.
+
+        Notices name no incarnation and may be late, so this one may be about
+        an earlier incarnation. Renewals go on: an answer refutes the notice,
+        and the runs are lost once it is confirmed or their lease has expired.
+        """
+        session.departure_noted_at = monotonic_now()
+
     def _open_session(self, session: WorkerSession) -> None:
         """Begin to renew the lease of an incarnation of a worker."""
         report = session.report
@@ -158,6 +167,11 @@
                 answer = OrderAnswer(Verdict.NO_ANSWER)
             was_answering = is_answering
             is_answering = answer.verdict is Verdict.DONE
+            if session.departure_noted_at is not None and self._has_left(
+                session, answer, sent_at
+            ):
+                self._end_departed(session)
+                return
             if is_answering:
                 try:
                     await self._process_lists(session, answer.lists, sent_at)
@@ -197,8 +211,43 @@
         self._context.record_clock(session, answer)
         return answer
 
+    def _has_left(
+        self, session: WorkerSession, answer: OrderAnswer, sent_at: float
+    ) -> bool:
+        """Return whether an answer confirms the notice that a worker has left.
+
+        An answer of the incarnation itself withdraws the notice.
+        """
+        if sent_at < session.departure_noted_at:
+            return False
+        if answer.verdict in (Verdict.NO_LISTENER, Verdict.OTHER_INCARNATION):
+            return True
+        if answer.verdict is Verdict.DONE:
+            if answer.lists.born not in (None, session.report.born):
+                return False
+            logger.warning(
+                "notice of a departure ignored, the worker answers",
+                extra={
+                    "worker": session.report.worker,
+                    "born": session.report.born,
+                },
+            )
+            session.departure_noted_at = None
+            self._context.wake.set()
+            return False
+        return monotonic_now() > session.expires_at()
+
+    def _end_departed(self, session: WorkerSession) -> None:
+        """Handle the confirmed departure of a worker."""
+        report = session.report
+        self._crash_monitor.note_left(_incarnation(report))
+        self._end_committer.end_lost_runs(
+            report.worker, LossCause.LEFT, report.born + 1
+        )
+        self.drop_session(session, "it has left")
+
     def _hold_ms(self, session: WorkerSession) -> int:
-        if not session.is_synced:
+        if not session.is_synced or session.departure_noted_at is not None:
             return 0
         runs = self._context.runs.by_worker.get(session.report.worker)
         if not runs:
--- a/galenarill/coordinator/service.py
+++ b/galenarill/coordinator/service.py
@@ -34,4 +34,8 @@
 
     @abc.abstractmethod
     def note_left(self, worker: WorkerId) -> None:
-        """Handle the departure of a worker."""
+        """Handle the notice that a worker has left.
+
+        The notice names no incarnation. It may be a late one about an earlier
+        incarnation than the one that works now.
+        """
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -14,6 +14,7 @@
     CancelJob,
     ClusterState,
     Configure,
+    Incarnation,
     JobSpec,
     JobStatus,
     Step,
@@ -211,6 +212,14 @@
         ):
             self.leader.note_report(report)
 
+    def note_left(self, worker):
+        """Deliver a worker's notice that it leaves, which names no life."""
+        born = self.registry.latest_born(worker)
+        if born is not None:
+            self.registry.note_left(worker, born)
+            if self.leader is not None:
+                self.leader.note_left(Incarnation(worker, born))
+
     def restart_worker(self, name):
         """Crash a worker and report its next incarnation."""
         self.advance(0.01)
--- a/galenarill/coordinator/tests/test_leader_machine.py
+++ b/galenarill/coordinator/tests/test_leader_machine.py
@@ -74,6 +74,16 @@
         simulation = self.simulation
         simulation.call(simulation.network.add, name)
 
+    @rule(name=st.sampled_from(WORKERS), reports=st.booleans())
+    def receive_late_departure(self, name, reports):
+        """Receive an earlier incarnation's notice that it leaves."""
+        simulation = self.simulation
+        simulation.call(simulation.note_left, name)
+        if reports:
+            worker = simulation.network.workers[f"{name}:1"]
+            worker.report_again()
+            simulation.call(simulation.report, worker.report)
+
     @rule(
         loss=st.sampled_from([0.0, 0.3]),
         lateness=st.sampled_from([0.0, 0.4]),
--- a/galenarill/platform/worker_client.py
+++ b/galenarill/platform/worker_client.py
@@ -24,6 +24,10 @@
 MAX_CONNECTIONS = 4
 EXPECTED_INSTANCE_HEADER = "X-Galenarill-Expect-Instance"
 
+# In place of an HTTP status.
+_NO_RESPONSE = 0
+_REFUSED = -1
+
 _VERDICT_BY_REASON = {
     "fence": Verdict.FENCED,
     "old": Verdict.OLD,
@@ -128,7 +132,7 @@
         body: dict,
         timeout_seconds: float,
     ) -> tuple[int, bytes]:
-        """Return the HTTP status (0 if there is no response) and the body."""
+        """Return the HTTP status, or what replaces it, and the body."""
         try:
             async with asyncio.timeout(timeout_seconds):
                 async with self._session.post(
@@ -141,13 +145,18 @@
                     },
                 ) as response:
                     return response.status, await response.read()
+        except aiohttp.ClientConnectorError as error:
+            is_refused = isinstance(error.os_error, ConnectionRefusedError)
+            return (_REFUSED if is_refused else _NO_RESPONSE), b""
         # An address or id that the HTTP client can't use is a ValueError.
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             # The caller logs the consequences of a missing response.
-            return 0, b""
+            return _NO_RESPONSE, b""
 
 
 def _to_order_answer(status: int, data: bytes) -> OrderAnswer:
+    if status == _REFUSED:
+        return OrderAnswer(Verdict.NO_LISTENER)
     clock_ms, reason = decode_clock_and_reason(data) if data else (None, "")
     match status:
         case 200:
--- a/galenarill/workers/orders.py
+++ b/galenarill/workers/orders.py
@@ -110,6 +110,9 @@
     INVALID = "invalid"
     # Another incarnation of a worker answers at this address.
     OTHER_INCARNATION = "other life"
+    # Nothing listens at its address, so the order had no effect, and the
+    # incarnation that was reported there is over.
+    NO_LISTENER = "no listener"
     # No answer: the order may already have taken effect, or may do so later.
     NO_ANSWER = "no answer"
 
--- a/galenarill/workers/registry.py
+++ b/galenarill/workers/registry.py
@@ -37,8 +37,9 @@
     def __init__(self):
         """Initialize an empty registry."""
         self.workers: dict[WorkerId, KnownWorker] = {}
-        # Start of the latest incarnation that has left, by id.
-        self._departed: dict[WorkerId, int] = {}
+        # Workers said to have left. The notice names no incarnation, so it
+        # may be about an earlier one.
+        self._departed: dict[WorkerId, KnownWorker] = {}
 
     def record_report(self, report: WorkerReport, now: float) -> bool:
         """Record a report.
@@ -46,9 +47,9 @@
         Returns:
             Whether it is newer than what was known.
         """
-        if report.born <= self._departed.get(report.worker, -1):
-            return False
-        known = self.workers.get(report.worker)
+        known = self.workers.get(report.worker) or self._departed.get(
+            report.worker
+        )
         if known is not None:
             latest = known.report
             if (report.born, report.sequence) <= (latest.born, latest.sequence):
@@ -56,28 +57,27 @@
             if report.born == latest.born and latest.is_draining:
                 # A draining worker never becomes ready again.
                 report = msgspec.structs.replace(report, is_draining=True)
+        self._departed.pop(report.worker, None)
         self.workers[report.worker] = KnownWorker(report, now)
         return True
 
-    def note_left(self, worker: WorkerId) -> WorkerReport | None:
-        """Record that a worker has left.
+    def latest_born(self, worker: WorkerId) -> int | None:
+        """Return the start of a worker's latest incarnation, or None."""
+        known = self.workers.get(worker) or self._departed.get(worker)
+        return None if known is None else known.report.born
 
-        Returns:
-            Its latest report, if it was known.
+    def note_left(self, worker: WorkerId, born: int) -> None:
+        """Record the notice that an incarnation of a worker has left.
+
+        A later report of the same incarnation proves the notice wrong.
         """
-        known = self.workers.pop(worker, None)
-        if known is None:
-            return None
-        self._departed[worker] = known.report.born
-        return known.report
-
-    def forget_silent(self, now: float) -> list[WorkerReport]:
-        """Remove and return workers without a report for `FORGET_SECONDS`."""
-        silent = [
-            known.report
-            for known in self.workers.values()
-            if known.heard_at < now - FORGET_SECONDS
-        ]
-        for report in silent:
-            del self.workers[report.worker]
-        return silent
+        known = self.workers.get(worker)
+        if known is not None and known.report.born <= born:
+            self._departed[worker] = self.workers.pop(worker)
+
+    def forget_silent(self, now: float) -> None:
+        """Remove workers without a report for `FORGET_SECONDS`."""
+        for workers in (self.workers, self._departed):
+            for worker, known in list(workers.items()):
+                if known.heard_at < now - FORGET_SECONDS:
+                    del workers[worker]
--- a/galenarill/workers/session.py
+++ b/galenarill/workers/session.py
@@ -37,6 +37,9 @@
             replicated state, which takes room until it has stopped.
         first_listed_at: When its lists first arrived, on the monotonic clock,
             or infinity.
+        departure_noted_at: When the notice arrived that it has left, on the
+            monotonic clock, or None. The notice names no incarnation, so it
+            counts only until an answer proves it wrong.
         is_provisional: Whether this incarnation is known only by its run
             lists, so that the rest of `report` describes an earlier one.
     """
@@ -61,6 +64,7 @@
         self.is_synced = False
         self.has_lapsed = False
         self.has_unknown_runs = False
+        self.departure_noted_at: float | None = None
         self.is_provisional = is_provisional
         self.answered_at = float("-inf")
         self.first_listed_at = float("inf")
--- a/standins/worker_network.py
+++ b/standins/worker_network.py
@@ -31,7 +31,8 @@
             most of a range from which each run draws.
         gangs: Steps whose tasks form a gang, as `job.occurrence.step`.
         resets_connections: Whether the operating system of a crashed worker
-            resets its connections. Otherwise calls to it time out.
+            resets its connections, and refuses new ones. Otherwise calls to it
+            time out.
         startup_seconds: Time from the start of a long-running task until it
             serves, on workers added from then on.
         on_stop: Called when a stop takes effect with the record of the run,
@@ -170,7 +171,9 @@
             is_reset = (
                 self.resets_connections and worker.address not in self.cut
             )
-            await asyncio.sleep(0.0 if is_reset else 0.7)
+            if is_reset:
+                return OrderAnswer(Verdict.NO_LISTENER)
+            await asyncio.sleep(0.7)
             return OrderAnswer(Verdict.NO_ANSWER)
         if incarnation.report.worker != worker.worker:
             return OrderAnswer(Verdict.OTHER_INCARNATION)
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -150,6 +150,13 @@
             if task not in self._stopping
         ]
 
+    def report_again(self, **changes) -> WorkerReport:
+        """Make and return its next report, with the given changes."""
+        self.report = msgspec.structs.replace(
+            self.report, sequence=self.report.sequence + 1, **changes
+        )
+        return self.report
+
     def crash(self) -> None:
         """Crash: all runs end, and no end is reported to the leader."""
         self.is_alive = False
@@ -166,12 +173,7 @@
         self._earlier_capacities.append(
             (self._loop.time(), self.report.capacity.cpu)
         )
-        self.report = msgspec.structs.replace(
-            self.report,
-            sequence=self.report.sequence + 1,
-            capacity=Resources(max_tasks, 1000, 0),
-        )
-        return self.report
+        return self.report_again(capacity=Resources(max_tasks, 1000, 0))
 
     def _recent_capacity(self) -> int:
         """Return the largest capacity of the last `SHRINK_GRACE_SECONDS`."""
