Keep the settings of a job's queue and tenant beyond the configuration

Cause: a job held the name of its queue, and each use looked it up in the configuration in force and passed over a name that was gone: no ready tasks, no failure counted against max_attempts, no demand for machines. The same for tenants: with its key under another name, a tenant's callers got 410, and its limit counted nothing that ran.

Fix: a job holds its queue's settings, and a configuration updates them: by host and prefix, which is what callers know; else by name, in the same pool or if that is gone; else they stay. A tenant that is gone is continued by the one that has a key of it, or keeps its limit and weight. So no configuration leaves a job without a queue.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -245,7 +245,7 @@
 
     def _note_new_job(self, job: Job) -> None:
         """Record the objective of a job, and its work if it is recent."""
-        queue = self._state.routing.queue(job.queue)
+        queue = job.queue_settings
         if queue is None:
             return
         last = job.spec.occurrences - 1
@@ -350,7 +350,6 @@
 
     def add_load(self, loads: dict[PoolId, PoolLoad]) -> None:
         """Add running and waiting tasks to the load of each pool."""
-        routing = self._state.routing
         wall_time = wall_now()
         late_jobs = {
             waiting.job
@@ -360,7 +359,7 @@
         }
         for job_id in self._active_jobs.union(self.runs.jobs):
             job = self._state.jobs[job_id]
-            queue = routing.queue(job.queue)
+            queue = job.queue_settings
             load = loads.get(queue.pool) if queue is not None else None
             if load is None:
                 continue
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -177,7 +177,7 @@
             self.refresh_ready_tasks(job_id)
 
     def _ready_groups(self, job: Job) -> list[TaskGroup]:
-        queue = self._context.state.routing.queue(job.queue)
+        queue = job.queue_settings
         if queue is None or job.status is not JobStatus.ACTIVE:
             return []
         keys = ready_tasks(job, wall_now()) + self._tasks_to_copy(job)
@@ -371,7 +371,8 @@
         used = dict(self._context.runs.used_by_tenant)
         for _, start in proposed:
             _add(used, start.tenant, start.step.need)
-        tenants = self._context.state.routing.configuration.tenants
+        state = self._context.state
+        tenants = (*state.removed_tenants, *state.routing.configuration.tenants)
         quotas = {
             tenant.name: Quota(
                 tenant.upper_limit, used.get(tenant.name, Resources())
@@ -395,7 +396,6 @@
             step_tasks_by_worker[step_key] = self._count_step_tasks_by_worker(
                 group.job, key, proposed
             )
-        queue = self._routing.queue(job.queue)
         return Candidate(
             group.job,
             key,
@@ -405,7 +405,7 @@
             self._workers_to_avoid(job, key),
             step_tasks_by_worker.get(step_key, {}),
             self._advisor.tickets_for(group.job, key, group.pool)
-            if queue.advice is not None
+            if job.queue_settings.advice is not None
             else None,
             unsettled if step.is_long_running else frozenset(),
         )
--- a/galenarill/coordinator/preempting.py
+++ b/galenarill/coordinator/preempting.py
@@ -100,7 +100,13 @@
         if self._configuration is not configuration:
             self._configuration = configuration
             self._least_urgent_by_pool = {}
-            for queue in configuration.queues:
+            # Runs of a removed queue can be preempted, too.
+            of_jobs = {
+                job.queue_settings
+                for job in self._context.state.jobs.values()
+                if job.queue_settings is not None
+            }
+            for queue in of_jobs.union(configuration.queues):
                 least = self._least_urgent_by_pool.get(queue.pool, 0)
                 self._least_urgent_by_pool[queue.pool] = max(
                     least, queue.priority
@@ -125,9 +131,7 @@
         ]
 
     def _priority(self, job_id: JobId) -> int:
-        job = self._context.state.jobs[job_id]
-        queue = self._context.state.routing.queue(job.queue)
-        # Jobs of a removed queue are not placed, and are never preempted.
+        queue = self._context.state.jobs[job_id].queue_settings
         return queue.priority if queue is not None else 0
 
     def _stop(self, run: TrackedRun) -> None:
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -6,7 +6,7 @@
 
 from galenarill.cluster import messages as msg
 from galenarill.cluster.messages import Code, Reply
-from galenarill.common import QueueId, monotonic_now, wall_now
+from galenarill.common import TeamId, monotonic_now, wall_now
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
     AcceptJob,
@@ -18,7 +18,7 @@
     JobStatus,
     StartWave,
 )
-from galenarill.routing import Refusal
+from galenarill.routing import Queue, Refusal
 
 __all__ = ["RequestHandler"]
 
@@ -58,7 +58,8 @@
         self._propose = propose
         self._can_serve_reads = can_serve_reads
         self._counted_at = float("-inf")
-        self._waiting_by_queue: collections.Counter[QueueId] = (
+        # By host and prefix: a removed queue may share its name with another.
+        self._waiting_by_queue: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
 
@@ -98,29 +99,38 @@
             return self._refuse(call, request.job, found)
         queue, tenant = found
         if request.job not in self._state.jobs:
-            await self._propose(
-                AcceptJob(
-                    request.job, queue.name, tenant, request.spec, wall_now()
-                )
-            )
-            logger.info(
-                "job accepted",
-                extra={
-                    "job": request.job,
-                    "queue": queue.name,
-                    "tenant": tenant,
-                    "tasks": sum(s.count for s in request.spec.steps),
-                    "lasts": any(s.is_long_running for s in request.spec.steps),
-                    "fills": any(s.is_best_effort for s in request.spec.steps),
-                    "target_ms": max(s.target_ms for s in request.spec.steps),
-                    "may_miss": max(
-                        s.max_unavailable for s in request.spec.steps
-                    ),
-                    "configuration": self._version,
-                },
-            )
+            await self._accept(request, queue, tenant)
         return Reply(call, Code.DONE)
 
+    async def _accept(
+        self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
+    ) -> None:
+        await self._propose(
+            AcceptJob(
+                request.job,
+                queue.name,
+                tenant,
+                request.spec,
+                wall_now(),
+                queue,
+            )
+        )
+        steps = request.spec.steps
+        logger.info(
+            "job accepted",
+            extra={
+                "job": request.job,
+                "queue": queue.name,
+                "tenant": tenant,
+                "tasks": sum(step.count for step in steps),
+                "lasts": any(step.is_long_running for step in steps),
+                "fills": any(step.is_best_effort for step in steps),
+                "target_ms": max(step.target_ms for step in steps),
+                "may_miss": max(step.max_unavailable for step in steps),
+                "configuration": self._version,
+            },
+        )
+
     def _job_status(self, call: int, request: msg.AskJob) -> Reply:
         job = self._find_job(request)
         if isinstance(job, Refusal):
@@ -147,9 +157,9 @@
         )
         if isinstance(found, Refusal):
             return self._refuse(call, "", found)
-        return Reply(call, Code.DONE, number=self._waiting_jobs(found[0].name))
+        return Reply(call, Code.DONE, number=self._waiting_jobs(found[0]))
 
-    def _waiting_jobs(self, queue: QueueId) -> int:
+    def _waiting_jobs(self, queue: Queue) -> int:
         """Return the number of a queue's jobs without a start.
 
         They are counted anew at most each `QUEUE_LENGTH_SECONDS`.
@@ -158,11 +168,13 @@
         if now >= self._counted_at + QUEUE_LENGTH_SECONDS:
             self._counted_at = now
             self._waiting_by_queue = collections.Counter(
-                job.queue
+                _path(job.queue_settings)
                 for job in self._state.jobs.values()
-                if job.status is JobStatus.ACTIVE and not job.has_started
+                if job.status is JobStatus.ACTIVE
+                and not job.has_started
+                and job.queue_settings is not None
             )
-        return self._waiting_by_queue[queue]
+        return self._waiting_by_queue[_path(queue)]
 
     async def _configure(
         self, call: int, request: msg.ChangeConfiguration
@@ -178,8 +190,27 @@
                     "tenants": len(configuration.tenants),
                 },
             )
+            self._log_removed_queues()
         return Reply(call, Code.DONE, number=self._version)
 
+    def _log_removed_queues(self) -> None:
+        """Log the queues that are kept only for their active jobs."""
+        jobs_by_queue = collections.Counter(
+            job.queue_settings
+            for job in self._state.jobs.values()
+            if job.status is JobStatus.ACTIVE
+        )
+        for queue, count in jobs_by_queue.items():
+            if queue is None or self._state.routing.queue(queue.name) != queue:
+                logger.warning(
+                    "queue removed, its jobs keep its last settings",
+                    extra={
+                        "queue": queue and queue.name,
+                        "pool": queue and queue.pool,
+                        "jobs": count,
+                    },
+                )
+
     def _read_configuration(self, call: int) -> Reply:
         document = self._state.routing.configuration.document
         if not document:
@@ -254,6 +285,10 @@
         return self._state.routing.configuration.version
 
 
+def _path(queue: Queue) -> tuple[str, str]:
+    return queue.host, queue.prefix
+
+
 def _status(job: Job) -> str:
     match job.status:
         case JobStatus.COMPLETED:
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -176,6 +176,8 @@
             if member_id not in current:
                 del known[member_id]
                 self._remove(run)
+            elif run.tenant != job.tenant:
+                self._change_tenant(run, job.tenant)
         for member_id, incarnation in current.items():
             if member_id not in known:
                 key, number, member = member_id
@@ -209,9 +211,20 @@
         self.reserved_by_worker[worker] = self.reserved_by_worker.get(
             worker, Resources()
         ).plus(run.step.reserved)
-        self.used_by_tenant[run.tenant] = self.used_by_tenant.get(
-            run.tenant, Resources()
-        ).plus(run.step.need)
+        self._add_usage(run)
+
+    def _add_usage(self, run: TrackedRun) -> None:
+        used = self.used_by_tenant.get(run.tenant, Resources())
+        self.used_by_tenant[run.tenant] = used.plus(run.step.need)
+
+    def _remove_usage(self, run: TrackedRun) -> None:
+        used = self.used_by_tenant[run.tenant]
+        self.used_by_tenant[run.tenant] = used.minus(run.step.need)
+
+    def _change_tenant(self, run: TrackedRun, tenant: TeamId) -> None:
+        self._remove_usage(run)
+        run.tenant = tenant
+        self._add_usage(run)
 
     def _remove(self, run: TrackedRun) -> None:
         worker = run.incarnation.worker
@@ -220,9 +233,7 @@
         self.reserved_by_worker[worker] = self.reserved_by_worker[worker].minus(
             run.step.reserved
         )
-        self.used_by_tenant[run.tenant] = self.used_by_tenant[run.tenant].minus(
-            run.step.need
-        )
+        self._remove_usage(run)
 
 
 def _run_members(job: Job) -> dict[tuple, Incarnation]:
--- a/galenarill/jobs/commands.py
+++ b/galenarill/jobs/commands.py
@@ -16,7 +16,7 @@
 )
 from galenarill.errors import ProtocolError
 from galenarill.jobs.model import Blame, JobSpec
-from galenarill.routing import Configuration
+from galenarill.routing import Configuration, Queue
 
 __all__ = [
     "Configure",
@@ -42,13 +42,25 @@
 
 
 class AcceptJob(msgspec.Struct, frozen=True, array_like=True, tag="acc"):
-    """Accept a job, unless a job with this id is known."""
+    """Accept a job, unless a job with this id is known.
+
+    Attributes:
+        job: Id of the job.
+        queue: Name of its queue.
+        tenant: Tenant, or "".
+        spec: Specification.
+        at: Time of acceptance, Unix seconds.
+        queue_settings: Settings of the queue by which it was accepted, or None
+            in entries of earlier releases. A configuration without the queue
+            may be committed before this command.
+    """
 
     job: JobId
     queue: QueueId
     tenant: TeamId
     spec: JobSpec
     at: float
+    queue_settings: Queue | None = None
 
 
 class CancelJob(msgspec.Struct, frozen=True, array_like=True, tag="can"):
--- a/galenarill/jobs/model.py
+++ b/galenarill/jobs/model.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from galenarill.common import JobId, MachineId, QueueId, TeamId, WorkerId
-from galenarill.routing import Resources
+from galenarill.routing import Queue, Resources
 
 __all__ = [
     "GANG",
@@ -304,7 +304,7 @@
 
     Attributes:
         id: Id, chosen by the caller.
-        queue: Queue.
+        queue: Name of its queue.
         tenant: Tenant, or "".
         spec: Specification.
         accepted_at: Time of acceptance, Unix seconds.
@@ -313,6 +313,9 @@
         tasks: State of each task that was started at least once.
         done: Number of completed tasks by occurrence and step.
         has_started: Whether any task was started.
+        queue_settings: Latest settings of its queue, which outlive the queue;
+            None if it was accepted by an earlier release and its queue has been
+            removed since.
     """
 
     id: JobId
@@ -325,6 +328,7 @@
     tasks: dict[TaskKey, Task] = {}
     done: dict[tuple[int, int], int] = {}
     has_started: bool = False
+    queue_settings: Queue | None = None
 
     def is_step_done(self, occurrence: int, step: int) -> bool:
         """Return whether all tasks of a step are completed."""
@@ -354,10 +358,24 @@
 
 
 def make_job(
-    job: JobId, queue: QueueId, tenant: TeamId, spec: JobSpec, at: float
+    job: JobId,
+    queue: QueueId,
+    tenant: TeamId,
+    spec: JobSpec,
+    at: float,
+    queue_settings: Queue | None = None,
 ) -> Job:
     """Return the initial state of an accepted job."""
-    return Job(job, queue, tenant, spec, at, tasks={}, done={})
+    return Job(
+        job,
+        queue,
+        tenant,
+        spec,
+        at,
+        tasks={},
+        done={},
+        queue_settings=queue_settings,
+    )
 
 
 def task_name(job: JobId, key: TaskKey, member: int) -> str:
--- a/galenarill/jobs/state.py
+++ b/galenarill/jobs/state.py
@@ -18,7 +18,7 @@
     TaskKey,
     make_job,
 )
-from galenarill.routing import Configuration, RoutingTable
+from galenarill.routing import Configuration, RoutingTable, Tenant
 
 __all__ = ["ClusterState", "MachineOrder", "Wave"]
 
@@ -69,6 +69,7 @@
     draining: dict[WorkerId, int] = {}
     waves: dict[int, Wave] = {}
     orders: dict[MachineId, MachineOrder] = {}
+    removed_tenants: list[Tenant] = []
 
 
 class ClusterState:
@@ -101,6 +102,7 @@
             self.draining,
             self.waves,
             self.orders,
+            self.removed_tenants,
         )
         return cbor2.dumps(
             msgspec.to_builtins(
@@ -140,7 +142,7 @@
         for command in commands:
             match command:
                 case cmd.Configure():
-                    self._configure(command.configuration)
+                    changed_jobs |= self._configure(command.configuration)
                 case cmd.AcceptJob():
                     self._accept(command)
                     changed_jobs.add(command.job)
@@ -184,10 +186,16 @@
         self._version = snapshot.version
         self._routing = RoutingTable(snapshot.configuration)
         self.jobs: dict[JobId, Job] = {job.id: job for job in snapshot.jobs}
+        for job in self.jobs.values():
+            # Snapshots of earlier releases hold only the name.
+            if job.queue_settings is None:
+                job.queue_settings = self._routing.queue(job.queue)
         self.draining = snapshot.draining
         self.waves = snapshot.waves
         # Latest order by machine.
         self.orders = snapshot.orders
+        # Last settings of the tenants that only jobs refer to.
+        self.removed_tenants = snapshot.removed_tenants
 
     def _drain(self, command: cmd.DrainWorker) -> None:
         born = self.draining.get(command.worker, command.born)
@@ -208,19 +216,54 @@
             command.holder, command.at, pool
         )
 
-    def _configure(self, configuration: Configuration) -> None:
-        if configuration.version > self._routing.configuration.version:
-            self._routing = RoutingTable(configuration)
+    def _configure(self, configuration: Configuration) -> set[JobId]:
+        """Apply a configuration; return the jobs whose tenant has changed."""
+        earlier = self._routing.configuration
+        if configuration.version <= earlier.version:
+            return set()
+        self._routing = RoutingTable(configuration)
+        tenants = (*self.removed_tenants, *earlier.tenants)
+        renamed = self._routing.renamed_tenants(tenants)
+        changed_jobs = set()
+        for job in self.jobs.values():
+            self._update_queue(job)
+            if job.tenant in renamed:
+                job.tenant = renamed[job.tenant]
+                changed_jobs.add(job.id)
+        in_use = {job.tenant for job in self.jobs.values()}
+        self.removed_tenants = [
+            tenant
+            for tenant in tenants
+            if tenant.name in in_use
+            and self._routing.tenant(tenant.name) is None
+        ]
+        return changed_jobs
+
+    def _update_queue(self, job: Job) -> None:
+        """Take a job's queue from the configuration, if it is still there.
+
+        An accepted job outlives its queue, with the queue's last settings.
+        """
+        if job.queue_settings is None:
+            queue = self._routing.queue(job.queue)
+        else:
+            queue = self._routing.successor_of(job.queue_settings)
+        if queue is not None:
+            job.queue, job.queue_settings = queue.name, queue
 
     def _accept(self, command: cmd.AcceptJob) -> None:
-        if command.job not in self.jobs:
-            self.jobs[command.job] = make_job(
-                command.job,
-                command.queue,
-                command.tenant,
-                command.spec,
-                command.at,
-            )
+        if command.job in self.jobs:
+            return
+        job = make_job(
+            command.job,
+            command.queue,
+            command.tenant,
+            command.spec,
+            command.at,
+            command.queue_settings,
+        )
+        self._update_queue(job)
+        self.jobs[command.job] = job
 
     def _cancel(self, command: cmd.CancelJob) -> None:
         job = self.jobs.get(command.job)
@@ -325,7 +368,7 @@
     def _record_failure(
         self, job: Job, key: TaskKey, task: Task, at: float
     ) -> None:
-        queue = self._routing.queue(job.queue)
+        queue = job.queue_settings
         if (
             job.spec.steps[key.step].is_long_running
             or queue is None
--- a/galenarill/routing/table.py
+++ b/galenarill/routing/table.py
@@ -1,6 +1,7 @@
 """Lookup of the queue and tenant of a request, and validation."""
 
 import enum
+from collections.abc import Iterable
 
 from galenarill.common import PoolId, QueueId, TeamId
 from galenarill.routing.model import (
@@ -87,6 +88,48 @@
         """Return the queue with that name, or None."""
         return self._queues.get(name)
 
+    def successor_of(self, queue: Queue) -> Queue | None:
+        """Return the queue that continues one of an earlier configuration.
+
+        Callers know a queue by its host and prefix, so the queue with these
+        continues it, whatever its name. Otherwise the one with its name does
+        if it has the same pool, or if that pool is no longer configured.
+
+        Returns:
+            The queue, or None if the earlier one was removed.
+
+        Example:
+            >>> queue = Queue("q", "h.example", "/x/", "p", 0, 1, 1, 9, True)
+            >>> renamed = Queue("r", "h.example", "/x/", "p", 0, 1, 1, 9, True)
+            >>> table = RoutingTable(Configuration(2, (renamed,)))
+            >>> table.successor_of(queue).name
+            'r'
+        """
+        for candidate in self._queues_by_host.get(queue.host, ()):
+            if candidate.prefix == queue.prefix:
+                return candidate
+        namesake = self._queues.get(queue.name)
+        if namesake is not None and (
+            namesake.pool == queue.pool or queue.pool not in self._pools
+        ):
+            return namesake
+        return None
+
+    def renamed_tenants(
+        self, earlier: Iterable[Tenant]
+    ) -> dict[TeamId, TeamId]:
+        """Return the new names of tenants of earlier configurations.
+
+        A tenant that is gone is continued by the one that has a key of it.
+        """
+        return {
+            tenant.name: self._tenants_by_key[key].name
+            for tenant in earlier
+            if tenant.name not in self._tenants
+            for key in tenant.keys
+            if key in self._tenants_by_key
+        }
+
     def pool(self, name: PoolId) -> Pool | None:
         """Return the pool with that name, or None."""
         return self._pools.get(name)
