Identify a job by its queue and tenant as well as its id

Callers saw 200 for a job that was never stored, when another queue or tenant had used its id, and without a key a public queue showed and cancelled any job (asides of the review).

Cause: submit took every known id for a resend, and lookups compared neither the queue nor, without a key, the tenant. An id in use elsewhere is refused with 409, also while the other job is being accepted; a job is visible through its own queue. The job of a removed queue stays visible through another one to callers with its tenant's key.

--- a/galenarill/cluster/messages.py
+++ b/galenarill/cluster/messages.py
@@ -139,6 +139,8 @@
     UNKNOWN_KEY = "unknown key"
     UNKNOWN = "unknown"
     INVALID = "invalid"
+    # Another queue or tenant has a job with this id.
+    ID_IN_USE = "id in use"
 
 
 _Request = (
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -6,7 +6,7 @@
 
 from galenarill.cluster import messages as msg
 from galenarill.cluster.messages import Code, Reply
-from galenarill.common import TeamId, monotonic_now, wall_now
+from galenarill.common import JobId, TeamId, monotonic_now, wall_now
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
     AcceptJob,
@@ -57,6 +57,8 @@
         self._state = state
         self._propose = propose
         self._can_serve_reads = can_serve_reads
+        # Path of the queue, and tenant, of the jobs that are being accepted.
+        self._accepting: dict[JobId, tuple[tuple[str, str], TeamId]] = {}
         self._counted_at = float("-inf")
         # By host and prefix: a removed queue may share its name with another.
         self._waiting_by_queue: collections.Counter[tuple[str, str]] = (
@@ -98,6 +100,9 @@
         if isinstance(found, Refusal):
             return self._refuse(call, request.job, found)
         queue, tenant = found
+        if self._is_id_in_use(request.job, queue, tenant):
+            logger.info("job id in use", extra={"job": request.job})
+            return Reply(call, Code.ID_IN_USE)
         if request.job not in self._state.jobs:
             await self._accept(request, queue, tenant)
         return Reply(call, Code.DONE)
@@ -105,16 +110,20 @@
     async def _accept(
         self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
     ) -> None:
-        await self._propose(
-            AcceptJob(
-                request.job,
-                queue.name,
-                tenant,
-                request.spec,
-                wall_now(),
-                queue,
+        self._accepting[request.job] = _path(queue), tenant
+        try:
+            await self._propose(
+                AcceptJob(
+                    request.job,
+                    queue.name,
+                    tenant,
+                    request.spec,
+                    wall_now(),
+                    queue,
+                )
             )
-        )
+        finally:
+            self._accepting.pop(request.job, None)
         steps = request.spec.steps
         logger.info(
             "job accepted",
@@ -131,6 +140,16 @@
             },
         )
 
+    def _is_id_in_use(
+        self, job_id: JobId, queue: Queue, tenant: TeamId
+    ) -> bool:
+        """Return whether another queue or tenant has a job with an id."""
+        job = self._state.jobs.get(job_id)
+        if job is not None:
+            return not self._is_visible(job, queue, tenant)
+        caller = _path(queue), tenant
+        return self._accepting.get(job_id, caller) != caller
+
     def _job_status(self, call: int, request: msg.AskJob) -> Reply:
         job = self._find_job(request)
         if isinstance(job, Refusal):
@@ -262,13 +281,24 @@
         )
         if isinstance(found, Refusal):
             return found
-        _, tenant = found
         job = self._state.jobs.get(request.job)
-        # The job of another tenant is reported as unknown.
-        if job is None or (job.tenant and tenant and job.tenant != tenant):
+        if job is None or not self._is_visible(job, *found):
             return None
         return job
 
+    def _is_visible(self, job: Job, queue: Queue, tenant: TeamId) -> bool:
+        """Return whether a job belongs to a caller's queue and tenant.
+
+        A caller without a key may see all jobs of a queue that allows it. The
+        job of a removed queue may be reached through another with a key only.
+        """
+        if job.tenant and tenant and job.tenant != tenant:
+            return False
+        own = job.queue_settings
+        if own is not None and self._state.routing.queue(own.name) == own:
+            return _path(own) == _path(queue)
+        return bool(tenant) or not job.tenant
+
     def _refuse(self, call: int, job: str, refusal: Refusal) -> Reply:
         logger.info(
             "request refused",
--- a/galenarill/platform/front.py
+++ b/galenarill/platform/front.py
@@ -30,6 +30,7 @@
     Code.UNKNOWN_KEY: 401,
     Code.UNKNOWN: 410,
     Code.INVALID: 400,
+    Code.ID_IN_USE: 409,
 }
 
 
