Conclude nothing from a list of ends that may be cut off

A worker lists at most 500 ends. Runs beyond these were neither listed as running nor as ended, so the leader took them for unknown to the worker, counted them as lost and started their tasks again, although they had ended.

test_ends_beyond_those_that_one_list_shows_are_awaited failed before: with 1300 tasks that end while their workers are cut off, tasks were started twice.

--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -318,7 +318,8 @@
             if run.phase is Phase.INHERITED:
                 self._adopt_inherited(run)
         listed = {(row.task, row.run) for row in lists.running + lists.ended}
-        self._handle_unlisted_runs(session, listed, sent_at)
+        if not lists.is_cut_off:
+            self._handle_unlisted_runs(session, listed, sent_at)
         if not session.is_synced:
             if session.has_lapsed:
                 logger.info(
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -84,6 +84,30 @@
     simulation.check()
 
 
+def test_ends_beyond_those_that_one_list_shows_are_awaited():
+    """Guards against a second start of a task that has ended."""
+    count = 1300
+    simulation = Simulation(
+        workers=0, seconds_of=lambda task, run: (3.0, "done")
+    )
+    for name in ("w0", "w1"):
+        report = simulation.call(
+            lambda name=name: simulation.network.add(name, max_tasks=count)
+        )
+        simulation.call(simulation.report, report)
+    simulation.advance(0.5)
+    simulation.submit("j", count)
+    simulation.advance(2.5)
+    simulation.network.cut.update(("w0:1", "w1:1"))
+    simulation.advance(1.5)
+    simulation.network.cut.clear()
+    simulation.advance(8.0)
+    simulation.check()
+    assert simulation.all_completed()
+    assert len(simulation.network.history) == count
+    simulation.close()
+
+
 def test_a_failing_task_fails_its_job_after_its_attempts(make):
     simulation = make(seconds_of=lambda task, run: (0.2, "failed"))
     simulation.submit("j", count=1)
--- a/galenarill/platform/wire.py
+++ b/galenarill/platform/wire.py
@@ -44,6 +44,8 @@
 
 # Limit of a job's payload in the platform's protocol.
 MAX_PAYLOAD_BYTES = 4000
+# Most ends in one list.
+MAX_LISTED_ENDS = 500
 JOB_ID_DIGITS = 16
 # Limit of the tasks of one job, and of its occurrences, each of which the
 # scheduler goes through.
@@ -319,7 +321,8 @@
         )
     except (IndexError, ValueError) as error:
         raise ProtocolError(f"malformed row in a run list: {error}") from error
-    return WorkerLists(raw.clock_ms, raw.born, running, ended)
+    is_cut_off = len(ended) >= MAX_LISTED_ENDS
+    return WorkerLists(raw.clock_ms, raw.born, running, ended, is_cut_off)
 
 
 def decode_clock_and_reason(data: bytes) -> tuple[float | None, str]:
--- a/galenarill/workers/orders.py
+++ b/galenarill/workers/orders.py
@@ -63,13 +63,17 @@
         clock_ms: Reading of the worker's monotonic clock in milliseconds.
         born: Start of its incarnation, or None if not reported.
         running: Runs in progress.
-        ended: Ended runs that the leader has not acknowledged yet.
+        ended: Ended runs that the leader has not acknowledged yet, the earliest
+            first.
+        is_cut_off: Whether further runs may have ended that are listed only
+            once these are acknowledged.
     """
 
     clock_ms: float
     born: int | None
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    is_cut_off: bool = False
 
 
 class StartOrder(msgspec.Struct, frozen=True):
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -19,6 +19,7 @@
 __all__ = ["FakeWorker", "RunRecord", "IS_LATE", "MAX_LEASE_SECONDS"]
 
 MAX_LEASE_SECONDS = 6.0
+MAX_LISTED_ENDS = 500
 STOP_SECONDS = 0.3
 # Runs of at least this duration represent long-running tasks, whose progress
 # is always reported as 100 percent.
@@ -306,7 +307,11 @@
             for task, (record, _) in self._running.items()
         )
         return Verdict.DONE, WorkerLists(
-            self.clock_ms, self.report.born, running, tuple(self._ended)
+            self.clock_ms,
+            self.report.born,
+            running,
+            tuple(self._ended[:MAX_LISTED_ENDS]),
+            len(self._ended) > MAX_LISTED_ENDS,
         )
 
     def _percent_done(self, record: RunRecord) -> float:
