Let waiting tasks take turns in preemption and holding

Each round looks at the 20 most urgent waiting tasks, and at 8 long-running ones, always the same. Tasks for which nothing can be done kept all others out for good. Those with the fewest turns come first now, and a task that has a worker held keeps it.

--- a/galenarill/coordinator/holding.py
+++ b/galenarill/coordinator/holding.py
@@ -5,7 +5,8 @@
 
 from galenarill.common import JobId, PoolId, WorkerId, monotonic_now
 from galenarill.coordinator.term import TermContext
-from galenarill.jobs import TaskKey
+from galenarill.coordinator.turns import Turns
+from galenarill.jobs import Step, TaskKey
 from galenarill.placement import (
     AvailableWorker,
     Candidate,
@@ -35,6 +36,7 @@
         # Since when long-running tasks have found no worker, and the workers
         # that are held for them.
         self._waiting_since: dict[tuple[JobId, TaskKey], float] = {}
+        self._turns = Turns(MAX_HELD_WORKERS)
         self._held: dict[tuple[JobId, TaskKey], WorkerId] = {}
 
     @property
@@ -42,6 +44,15 @@
         """Workers that get long-running tasks only."""
         return frozenset(self._held.values())
 
+    def usable_by(
+        self, step: Step, members: list[AvailableWorker]
+    ) -> list[AvailableWorker]:
+        """Return the workers that are not held, or all for a lasting step."""
+        if step.is_long_running or not self._held:
+            return members
+        held = self.workers
+        return [w for w in members if w.report.worker not in held]
+
     def clear(self) -> None:
         """Hold no workers, because no task waits."""
         self._waiting_since, self._held = {}, {}
@@ -69,11 +80,19 @@
         self._waiting_since = {
             task_id: self._waiting_since.get(task_id, now) for task_id in tasks
         }
-        delayed = [
-            (task_id, make_candidate(group, task_id[1]))
-            for task_id, group in tasks.items()
+        overdue = [
+            task_id
+            for task_id in tasks
             if now >= self._waiting_since[task_id] + HOLD_DELAY_SECONDS
-        ][:MAX_HELD_WORKERS]
+        ]
+        # Tasks with a held worker keep it. The others take turns.
+        holding = [task_id for task_id in overdue if task_id in self._held]
+        others = [task_id for task_id in overdue if task_id not in self._held]
+        chosen = holding + self._turns.take(others)
+        delayed = [
+            (task_id, make_candidate(tasks[task_id], task_id[1]))
+            for task_id in chosen[:MAX_HELD_WORKERS]
+        ]
         if not delayed:
             self._held = {}
             return
--- a/galenarill/coordinator/preempting.py
+++ b/galenarill/coordinator/preempting.py
@@ -7,6 +7,7 @@
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.runs import Phase, TrackedRun
 from galenarill.coordinator.term import TermContext
+from galenarill.coordinator.turns import Turns
 from galenarill.jobs import TaskKey
 from galenarill.placement import (
     ActiveRun,
@@ -41,6 +42,7 @@
         self._run_orders = run_orders
         # Since when each task has had no worker, on the monotonic clock.
         self._unplaced_since: dict[tuple[JobId, TaskKey], float] = {}
+        self._turns = Turns(MAX_WAITING_TASKS)
         # Configuration that the priorities were read from.
         self._configuration: Configuration | None = None
         self._least_urgent_by_pool: dict[PoolId, int] = {}
@@ -61,25 +63,31 @@
             quotas: Upper limit and usage of each tenant.
         """
         now = monotonic_now()
-        least_urgent = self._least_urgent()
         tasks = [
             (group, key)
             for group in sorted(
                 unplaced, key=lambda group: (group.priority, group.accepted_at)
             )
-            if group.priority < least_urgent.get(group.pool, 0)
+            if self.may_preempt(group)
             for key in group.keys
         ]
         self._unplaced_since = {
             task_id: self._unplaced_since.get(task_id, now)
             for task_id in ((group.job, key) for group, key in tasks)
         }
-        waiting = [
-            (make_candidate(group, key), group.priority)
+        delayed = {
+            (group.job, key): group
             for group, key in tasks
             if now
             >= self._unplaced_since[group.job, key] + PREEMPTION_DELAY_SECONDS
-        ][:MAX_WAITING_TASKS]
+        }
+        waiting = [
+            (
+                make_candidate(delayed[task_id], task_id[1]),
+                delayed[task_id].priority,
+            )
+            for task_id in self._turns.take(delayed)
+        ]
         if not waiting:
             return
         active_runs = {
@@ -94,6 +102,10 @@
         ):
             self._stop(self._context.runs.by_name[active_run.run])
 
+    def may_preempt(self, group: TaskGroup) -> bool:
+        """Return whether less urgent tasks may run in the pool of a group."""
+        return group.priority < self._least_urgent().get(group.pool, 0)
+
     def _least_urgent(self) -> dict[PoolId, int]:
         """Return the priority of the least urgent queue of each pool."""
         configuration = self._context.state.routing.configuration
