Acknowledge only changes that the leader has committed

Any reply but success is a 503 now, which the operator's calls follow with another try. No test: no reply of the leader to such a change that isn't success is known to reach this code.

--- a/galenarill/platform/control.py
+++ b/galenarill/platform/control.py
@@ -71,8 +71,7 @@
                 )
             if path == "/galenarill/wave-start" and method == "POST":
                 wave = decode_wave(await request.read())
-                await self._call_leader(BeginWave(*wave))
-                return json_response({})
+                return await self._change_state(BeginWave(*wave))
             if path.startswith(WAVE_STATUS_PREFIX) and method == "GET":
                 return await self._wave_status(path[len(WAVE_STATUS_PREFIX) :])
         except ProtocolError as error:
@@ -86,6 +85,13 @@
             request, monotonic_now() + CALL_TIMEOUT_SECONDS
         )
 
+    async def _change_state(self, request) -> web.Response:
+        """Acknowledge a change that was committed, and no other."""
+        reply = await self._call_leader(request)
+        if reply.code is not Code.DONE:
+            return _service_unavailable()
+        return json_response({})
+
     async def _serve_instance(
         self, request: web.BaseRequest, worker: str
     ) -> web.Response:
@@ -108,8 +114,7 @@
                 "configuration refused", extra={"why": configuration.value}
             )
             return json_response({"error": configuration.value}, 400)
-        await self._call_leader(ChangeConfiguration(configuration))
-        return json_response({})
+        return await self._change_state(ChangeConfiguration(configuration))
 
     async def _wave_status(self, wave: str) -> web.Response:
         if not wave.isdecimal() or len(wave) > MAX_WAVE_DIGITS:
