Answer a resent request by a refusal only if no attempt was carried out

Cause: a request is sent again when there is no reply within 0.8 s, also when the gateway stood still and the reply is there, unread. The first attempt was then forgotten, and the refusal of the second one, by a configuration that had come meanwhile, was passed on for the whole request.

A leader that is deposed during a commit replies that the request is unsettled.

--- a/galenarill/cluster/messages.py
+++ b/galenarill/cluster/messages.py
@@ -22,6 +22,8 @@
     "BeginWave",
     "AskWave",
     "Code",
+    "REFUSALS",
+    "CHANGES",
     "Call",
     "Reply",
 ]
@@ -133,7 +135,10 @@
     """Outcome of a call."""
 
     DONE = "done"
+    # Not carried out by this coordinator.
     NOT_LEADING = "not leading"
+    # The lead was lost before the commit, which may still take place.
+    UNSETTLED = "unsettled"
     NO_CONFIGURATION = "no configuration"
     UNKNOWN_QUEUE = "unknown queue"
     UNKNOWN_KEY = "unknown key"
@@ -143,6 +148,26 @@
     ID_IN_USE = "id in use"
 
 
+# Codes that say that a request was not carried out.
+REFUSALS = frozenset(
+    {
+        Code.NO_CONFIGURATION,
+        Code.UNKNOWN_QUEUE,
+        Code.UNKNOWN_KEY,
+        Code.INVALID,
+        Code.ID_IN_USE,
+    }
+)
+
+# Requests that change the replicated state.
+CHANGES = (
+    SubmitJob,
+    WithdrawJob,
+    ChangeConfiguration,
+    ReportWorker,
+    BeginWave,
+)
+
 _Request = (
     SubmitJob
     | AskJob
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -210,11 +210,15 @@
 
     async def call_leader(self, request, deadline: float) -> Reply:
         """Answer a request locally, or forward it to the leader."""
+        is_unsettled = False
         if self._can_serve_reads():
             reply = await self._request_handler.answer(0, request)
-            if reply.code is not Code.NOT_LEADING:
+            if reply.code not in (Code.NOT_LEADING, Code.UNSETTLED):
                 return reply
-        return await self._leader_client.call_leader(request, deadline)
+            is_unsettled = reply.code is Code.UNSETTLED
+        return await self._leader_client.call_leader(
+            request, deadline, is_unsettled=is_unsettled
+        )
 
     async def note_report(self, report: WorkerReport, deadline: float) -> None:
         """Handle a worker's report and forward it to other coordinators."""
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -90,7 +90,7 @@
                 case msg.AskWave():
                     return self._wave_status(call, request)
         except NotLeaderError:
-            return Reply(call, Code.NOT_LEADING)
+            return Reply(call, Code.UNSETTLED)
         return Reply(call, Code.INVALID)
 
     async def _submit(self, call: int, request: msg.SubmitJob) -> Reply:
