Keep the notice of a departure for a worker that drains

Cause: an answer between a worker's DELETE and its end withdrew the notice. Its session was then kept and polled until the end of the term, and its runs waited for the end of its lease. A draining worker gets no starts, so the notice is kept for it, and is confirmed or not by what comes after.

--- a/galenarill/coordinator/renewals.py
+++ b/galenarill/coordinator/renewals.py
@@ -36,7 +36,7 @@
 # which grants one of its own.
 IDLE_RENEWAL_HOLD_MS = 1200
 # The same while it isn't known whether a run began on an earlier incarnation,
-# or crashes the worker.
+# or crashes the worker, or whether the worker has left.
 SHORT_RENEWAL_HOLD_MS = 50
 
 
@@ -216,14 +216,16 @@
     ) -> bool:
         """Return whether an answer confirms the notice that a worker has left.
 
-        An answer of the incarnation itself withdraws the notice.
+        An answer of the incarnation itself withdraws the notice, unless it
+        drains: then it gets no starts in any case, and may be about to end.
         """
-        if sent_at < session.departure_noted_at:
+        if sent_at <= session.departure_noted_at:
             return False
         if answer.verdict in (Verdict.NO_LISTENER, Verdict.OTHER_INCARNATION):
             return True
         if answer.verdict is Verdict.DONE:
-            if answer.lists.born not in (None, session.report.born):
+            is_current = answer.lists.born in (None, session.report.born)
+            if not is_current or self._context.is_draining(session):
                 return False
             logger.warning(
                 "notice of a departure ignored, the worker answers",
@@ -247,8 +249,10 @@
         self.drop_session(session, "it has left")
 
     def _hold_ms(self, session: WorkerSession) -> int:
-        if not session.is_synced or session.departure_noted_at is not None:
+        if not session.is_synced:
             return 0
+        if session.departure_noted_at is not None:
+            return SHORT_RENEWAL_HOLD_MS
         runs = self._context.runs.by_worker.get(session.report.worker)
         if not runs:
             return IDLE_RENEWAL_HOLD_MS
--- a/galenarill/coordinator/tests/test_departures.py
+++ b/galenarill/coordinator/tests/test_departures.py
@@ -73,6 +73,28 @@
     simulation.close()
 
 
+def test_a_worker_that_answers_once_more_before_it_ends_has_left():
+    """Its notice may overtake its end."""
+    simulation = Simulation(workers=2, seconds_of=_long)
+    simulation.network.resets_connections = True
+    simulation.advance(1.0)
+    simulation.submit("j", 2)
+    simulation.advance(1.0)
+    first = simulation.network.history[0].worker
+    worker = simulation.network.workers[f"{first}:1"]
+    drains = worker.report_again(is_draining=True)
+    simulation.call(simulation.report, drains)
+    simulation.call(simulation.note_left, first)
+    simulation.advance(1.0)
+    simulation.call(worker.crash)
+    simulation.advance(0.7)
+    simulation.check()
+    assert simulation.leader.incarnation_of(first) is None
+    running = [run for run in simulation.network.history if not run.how]
+    assert len(running) == 2
+    simulation.close()
+
+
 def test_a_worker_said_to_have_left_gets_no_start_before_it_answers():
     """A start there would be lost if the notice is true."""
     simulation = Simulation(workers=1)
