--- a/galenarill/cluster/leader_client.py
+++ b/galenarill/cluster/leader_client.py
@@ -75,9 +75,9 @@
         return self._refusal is not None
 
     @property
-    def has_open(self) -> bool:
-        """Whether the reply to an attempt may still come."""
-        return bool(self._open)
+    def open_calls(self) -> frozenset[int]:
+        """Numbers of the calls whose reply may still come."""
+        return frozenset(self._open)
 
     @property
     def may_have_run(self) -> bool:
@@ -198,9 +198,8 @@
         try:
             await self._attempt(request, attempts, deadline)
         finally:
-            for call, (_, of_request) in list(self._calls.items()):
-                if of_request is attempts:
-                    del self._calls[call]
+            for call in attempts.open_calls:
+                self._calls.pop(call, None)
         if attempts.reply is not None:
             return attempts.reply
         if attempts.may_have_run:
@@ -235,11 +234,11 @@
             wait = min(deadline - monotonic_now(), REPLY_TIMEOUT_SECONDS)
             if await attempts.wait(wait) and attempts.reply is None:
                 await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        while attempts.is_refused and attempts.has_open:
+        while attempts.is_refused and attempts.open_calls:
             if monotonic_now() >= deadline:
                 break
             await attempts.wait(deadline - monotonic_now())
-        if attempts.reply is None and attempts.has_open:
+        if attempts.reply is None and attempts.open_calls:
             # After a freeze, a reply may have arrived that is not read yet.
             await attempts.wait(POLL_INTERVAL_SECONDS)
 
