Move the requests for advice out of the placer

No behaviour changes: which waiting tasks need more advice is decided in a module of its own. test_advice, test_turns, test_leader and test_layout pass.

--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -6,7 +6,6 @@
 import functools
 import itertools
 import logging
-from collections.abc import Callable
 
 from galenarill.common import (
     JobId,
@@ -17,6 +16,7 @@
     monotonic_now,
     wall_now,
 )
+from galenarill.coordinator.advice_requests import AdviceRequests
 from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.cordons import CordonReason, Cordons
 from galenarill.coordinator.crashes import CrashMonitor
@@ -29,7 +29,6 @@
 from galenarill.coordinator.term import ANSWER_SECONDS, TermContext
 from galenarill.coordinator.trials import TrialPlacer
 from galenarill.jobs import (
-    GANG,
     Job,
     JobStatus,
     StartRun,
@@ -45,10 +44,8 @@
     Quota,
     TaskGroup,
     TenantUsage,
-    assign_workers,
     make_group,
     place_groups,
-    prefer_healthy,
 )
 from galenarill.routing import Resources
 from galenarill.telemetry import meter
@@ -128,6 +125,9 @@
         self._preemptor = Preemptor(context, run_orders)
         self._trial_placer = TrialPlacer(crash_monitor)
         self._worker_holds = WorkerHolds(context)
+        self._advice_requests = AdviceRequests(
+            context, advisor, self._preemptor, self._worker_holds
+        )
         # Ready tasks without a proposed start, by job.
         self._groups: dict[JobId, list[TaskGroup]] = {}
         # Configuration that the groups were made for.
@@ -280,7 +280,7 @@
                     group.is_late(wall_time),
                 )
             )
-        self._request_advice(waiting, available, make_candidate)
+        self._advice_requests.send(waiting, available, make_candidate)
         self._preemptor.preempt(
             [group for group in waiting if not group.is_trial],
             make_candidate,
@@ -415,45 +415,6 @@
             unsettled if step.is_long_running else frozenset(),
         )
 
-    def _request_advice(
-        self,
-        waiting: list[TaskGroup],
-        available: dict[PoolId, list[AvailableWorker]],
-        make_candidate: Callable[[TaskGroup, TaskKey], Candidate],
-    ) -> None:
-        """Request advice for tasks whose known workers can't take them.
-
-        Without room on any worker, it is of use only to tasks that may preempt
-        others, or for which a worker may be held.
-        """
-        for group in waiting:
-            key = group.keys[0]
-            queue = self._context.state.jobs[group.job].queue_settings
-            if queue.advice is None or not self._advisor.may_request(
-                group.job, key
-            ):
-                continue
-            members = self._worker_holds.usable_by(
-                group.step, prefer_healthy(available.get(group.pool, []))
-            )
-            with_room = [w for w in members if group.step.reserved.fits(w.free)]
-            count = group.step.count if key.index == GANG else 1
-            candidate = make_candidate(group, key)
-            if with_room:
-                is_useful = not assign_workers(candidate, count, with_room)
-            else:
-                is_useful = not candidate.tickets and (
-                    group.step.is_long_running
-                    or self._preemptor.may_preempt(group)
-                )
-            if is_useful:
-                self._advisor.request(
-                    group.job,
-                    key,
-                    group.pool,
-                    {w.report.worker for w in with_room},
-                )
-
     def _workers_to_avoid(self, job: Job, key: TaskKey) -> frozenset[WorkerId]:
         """Return the workers where a task failed or already has a run.
 
