Keep the turn of tasks that preemption or holding can help

Cause: each look counted as a turn, also if runs were being stopped for a task. Only a look in vain counts now.

--- a/galenarill/coordinator/holding.py
+++ b/galenarill/coordinator/holding.py
@@ -88,10 +88,11 @@
         # Tasks with a held worker keep it. The others take turns.
         holding = [task_id for task_id in overdue if task_id in self._held]
         others = [task_id for task_id in overdue if task_id not in self._held]
-        chosen = holding + self._turns.take(others)
+        most = max(0, MAX_HELD_WORKERS - len(holding))
+        turns = self._turns.take(others)[:most]
         delayed = [
             (task_id, make_candidate(tasks[task_id], task_id[1]))
-            for task_id in chosen[:MAX_HELD_WORKERS]
+            for task_id in holding + turns
         ]
         if not delayed:
             self._held = {}
@@ -118,6 +119,9 @@
                     "worker": held[job_id, key],
                 },
             )
+        for task_id in turns:
+            if task_id not in held:
+                self._turns.pass_over(task_id)
         self._held = held
 
     def _releasable(self, worker: WorkerId) -> Resources:
--- a/galenarill/coordinator/preempting.py
+++ b/galenarill/coordinator/preempting.py
@@ -97,10 +97,13 @@
             for pool in {candidate.pool for candidate, _ in waiting}
             for available_worker in available.get(pool, [])
         }
-        for active_run in choose_victims(
-            waiting, available, quotas, active_runs
-        ):
+        preemption = choose_victims(waiting, available, quotas, active_runs)
+        for active_run in preemption.victims:
             self._stop(self._context.runs.by_name[active_run.run])
+        helped = {(task.job, task.key) for task in preemption.helped}
+        for candidate, _ in waiting:
+            if (candidate.job, candidate.key) not in helped:
+                self._turns.pass_over((candidate.job, candidate.key))
 
     def may_preempt(self, group: TaskGroup) -> bool:
         """Return whether less urgent tasks may run in the pool of a group."""
--- a/galenarill/placement/preemption.py
+++ b/galenarill/placement/preemption.py
@@ -13,7 +13,7 @@
 )
 from galenarill.routing import Resources
 
-__all__ = ["ActiveRun", "choose_victims"]
+__all__ = ["ActiveRun", "Preemption", "choose_victims"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,13 +37,27 @@
     is_preemptible: bool = True
 
 
+@dataclasses.dataclass(slots=True)
+class Preemption:
+    """Runs to preempt, and the tasks that get room by it.
+
+    Attributes:
+        victims: Runs to preempt.
+        helped: Tasks that fit on a worker once these, and runs that are being
+            stopped already, have ended.
+    """
+
+    victims: list[ActiveRun]
+    helped: list[Candidate]
+
+
 def choose_victims(
     waiting: Iterable[tuple[Candidate, int]],
     available: dict[PoolId, list[AvailableWorker]],
     quotas: dict[TeamId, Quota],
     active_runs: dict[WorkerId, list[ActiveRun]],
-) -> list[ActiveRun]:
-    """Return the runs to preempt.
+) -> Preemption:
+    """Choose the runs to preempt.
 
     Only runs of less urgent queues are preempted, on the worker where the
     least work is lost. Nothing is preempted on a worker where runs that are
@@ -66,6 +80,7 @@
         for available_worker in members
     }
     victims: list[ActiveRun] = []
+    helped: list[Candidate] = []
     for candidate, priority in waiting:
         need = candidate.step.reserved
         quota = quotas.get(candidate.tenant)
@@ -99,13 +114,14 @@
             continue
         _, worker, chosen = min(choices, key=lambda choice: choice[:2])
         victims += chosen
+        helped.append(candidate)
         for active_run in chosen:
             free[worker] = free[worker].plus(active_run.reserved)
         free[worker] = free[worker].minus(need)
         candidate.siblings[worker] = candidate.siblings.get(worker, 0) + 1
         if quota is not None:
             quota.used = quota.used.plus(candidate.step.need)
-    return victims
+    return Preemption(victims, helped)
 
 
 def _releasing_capacity(
--- a/galenarill/placement/tests/test_preemption.py
+++ b/galenarill/placement/tests/test_preemption.py
@@ -38,7 +38,7 @@
         quotas or {},
         active_runs,
     )
-    return [active_run.run for active_run in chosen]
+    return [active_run.run for active_run in chosen.victims]
 
 
 def test_the_run_that_loses_the_least_work_stops():
@@ -138,7 +138,7 @@
         {"p": [available_worker("w1", free)]},
         {},
         {"w1": active_runs},
-    )
+    ).victims
     assert len({victim.run for victim in chosen}) == len(chosen)
     for victim in chosen:
         assert victim.priority > 0
