Log the size of jobs and tasks

Cause: the planned report groups jobs by size and sums lost core-seconds, but no log line holds the CPU of a task, the objective of a job or whether a pool is a spare one.

No line is added.

--- a/galenarill/coordinator/endings.py
+++ b/galenarill/coordinator/endings.py
@@ -74,6 +74,7 @@
                 "worker": run.incarnation.worker,
                 "how": how.value,
                 "seconds": round(monotonic_now() - run.ordered_at, 3),
+                "cpu": run.step.need.cpu,
             },
         )
         is_lost = how is RunOutcome.LOST
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -226,6 +226,7 @@
                 extra={
                     "pool": pool,
                     "machines": machines[pool],
+                    "is_spare": load.is_spare,
                     "floor": load.soft_minimum,
                     "needed": load.recently_needed,
                     "running_cpu": load.running.cpu,
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -15,9 +15,11 @@
     Configure,
     DrainWorker,
     Job,
+    JobSpec,
     JobStatus,
     StartWave,
 )
+from galenarill.placement import critical_path_seconds, estimated_seconds
 from galenarill.routing import Queue, Refusal
 
 __all__ = ["RequestHandler"]
@@ -132,6 +134,7 @@
                 "queue": queue.name,
                 "tenant": tenant,
                 "tasks": sum(step.count for step in steps),
+                **_describe_size(request.spec, queue),
                 "lasts": any(step.is_long_running for step in steps),
                 "fills": any(step.is_best_effort for step in steps),
                 "target_ms": max(step.target_ms for step in steps),
@@ -319,6 +322,28 @@
     return queue.host, queue.prefix
 
 
+def _describe_size(spec: JobSpec, queue: Queue) -> dict:
+    """Return the fields of a log line that tell the size of a job."""
+    finite = [step for step in spec.steps if not step.is_long_running]
+    critical_path = critical_path_seconds(spec.steps)
+    return {
+        "pool": queue.pool,
+        "repeats": spec.repeat_count,
+        "largest_cpu": max((step.need.cpu for step in spec.steps), default=0),
+        # Estimated work of one occurrence, in core-seconds.
+        "core_seconds": round(
+            sum(
+                step.count * step.need.cpu / 1000 * estimated_seconds(step)
+                for step in finite
+            ),
+            3,
+        ),
+        "objective_seconds": round(
+            queue.stretch * critical_path + queue.objective_ms / 1000, 3
+        ),
+    }
+
+
 def _status(job: Job) -> str:
     match job.status:
         case JobStatus.COMPLETED:
