Add the command `galenarill report`

Cause: what became of jobs by queue, tenant and size, and how often small tasks overtake large jobs, could only be counted by hand from the logs.

Change: telemetry/report.py computes the figures from parsed lines, and cli/report.py prints them as text or JSON. Reading of log files is shared with `trace` in cli/logs.py.

--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -11,6 +11,7 @@
 from galenarill.cli.config import config_app
 from galenarill.cli.fleet import status, vm_app
 from galenarill.cli.keys import key_app, operator_app
+from galenarill.cli.report import report
 from galenarill.cli.trace import trace
 from galenarill.errors import (
     GalenarillError,
@@ -35,6 +36,7 @@
 app.command(operator_app)
 app.command(vm_app)
 app.command(check)
+app.command(report)
 app.command(status)
 app.command(trace)
 
--- a/galenarill/cli/trace.py
+++ b/galenarill/cli/trace.py
@@ -8,6 +8,7 @@
 import cyclopts
 import msgspec
 
+from galenarill.cli.logs import read_log_files
 from galenarill.errors import GalenarillError
 
 if TYPE_CHECKING:
@@ -41,14 +42,10 @@
     """
     # Imported here because the package also loads the metrics libraries, which
     # would slow down the start of every other command.
-    from galenarill.telemetry import read_log, request_timeline
+    from galenarill.telemetry import request_timeline
 
     shifts = dict(_parse_shift(text) for text in shift)
-    lines, unreadable = [], 0
-    for file in files:
-        found, malformed = read_log(_read_lines(file), shifts)
-        lines += found
-        unreadable += malformed
+    lines, unreadable = read_log_files(files, shifts)
     timeline = request_timeline(lines, request)
     start = timeline[0].at if timeline else 0.0
     for line in timeline:
@@ -71,15 +68,6 @@
         ) from None
 
 
-def _read_lines(file: pathlib.Path) -> list[str]:
-    try:
-        if str(file) == "-":
-            return sys.stdin.read().splitlines()
-        return file.read_text(encoding="utf-8", errors="replace").splitlines()
-    except OSError as error:
-        raise GalenarillError(f"cannot read {file}: {error}") from error
-
-
 def _as_text(line: "LogLine", start: float) -> str:
     fields = " ".join(f"{k}={_format_field(v)}" for k, v in line.fields.items())
     return f"{line.at - start:+9.3f}  {line.vm:20} {line.event:24} {fields}"
