--- a/galenarill/jobs/commands.py
+++ b/galenarill/jobs/commands.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from galenarill.common import (
+    AvailabilityZoneId,
     JobId,
     MachineId,
     PoolId,
@@ -30,6 +31,8 @@
     "OrderMaintenance",
     "FinishMaintenance",
     "MoveMachine",
+    "EvacuateZone",
+    "RestoreZone",
     "encode_commands",
     "decode_commands",
 ]
@@ -202,6 +205,30 @@
     at: float
 
 
+class EvacuateZone(msgspec.Struct, frozen=True, array_like=True, tag="evz"):
+    """Start no more runs in a zone, unless it is evacuated already.
+
+    Attributes:
+        zone: Availability zone.
+        at: Time of the order, Unix seconds.
+    """
+
+    zone: AvailabilityZoneId
+    at: float
+
+
+class RestoreZone(msgspec.Struct, frozen=True, array_like=True, tag="rsz"):
+    """Start runs in a zone again.
+
+    Attributes:
+        zone: Availability zone.
+        at: Time of the order, Unix seconds.
+    """
+
+    zone: AvailabilityZoneId
+    at: float
+
+
 _Command = functools.reduce(
     operator.or_,
     (
@@ -216,6 +243,8 @@
         OrderMaintenance,
         FinishMaintenance,
         MoveMachine,
+        EvacuateZone,
+        RestoreZone,
     ),
 )
 
--- a/galenarill/jobs/state.py
+++ b/galenarill/jobs/state.py
@@ -3,7 +3,13 @@
 import cbor2
 import msgspec
 
-from galenarill.common import JobId, MachineId, PoolId, WorkerId
+from galenarill.common import (
+    AvailabilityZoneId,
+    JobId,
+    MachineId,
+    PoolId,
+    WorkerId,
+)
 from galenarill.jobs import commands as cmd
 from galenarill.jobs.model import (
     GANG,
@@ -20,7 +26,11 @@
 )
 from galenarill.routing import Configuration, RoutingTable, Tenant
 
-__all__ = ["ClusterState", "MachineOrder", "Wave"]
+__all__ = ["ClusterState", "MachineOrder", "Wave", "ZoneEvacuation"]
+
+# Number of restored zones that are remembered, the latest ones. A platform has
+# a few zones; the bound is against reports that invent names.
+MAX_RESTORED_ZONES = 64
 
 
 class Wave(msgspec.Struct, array_like=True):
@@ -60,6 +70,18 @@
     pool: PoolId | None = None
 
 
+class ZoneEvacuation(msgspec.Struct, array_like=True, frozen=True):
+    """An evacuation of a zone that is in force.
+
+    Attributes:
+        at: Time of the order, Unix seconds.
+        index: Index of its log entry.
+    """
+
+    at: float
+    index: int
+
+
 class _Snapshot(msgspec.Struct, array_like=True):
     """Content of a snapshot."""
 
@@ -70,6 +92,8 @@
     waves: dict[int, Wave] = {}
     orders: dict[MachineId, MachineOrder] = {}
     removed_tenants: list[Tenant] = []
+    evacuated_zones: dict[AvailabilityZoneId, ZoneEvacuation] = {}
+    restored_zones: dict[AvailabilityZoneId, float] = {}
 
 
 class ClusterState:
@@ -103,6 +127,8 @@
             self.waves,
             self.orders,
             self.removed_tenants,
+            self.evacuated_zones,
+            self.restored_zones,
         )
         return cbor2.dumps(
             msgspec.to_builtins(
@@ -180,6 +206,13 @@
                         wave.finished.add(command.machine)
                 case cmd.MoveMachine():
                     self._record_order(command, command.pool)
+                case cmd.EvacuateZone():
+                    self.restored_zones.pop(command.zone, None)
+                    self.evacuated_zones.setdefault(
+                        command.zone, ZoneEvacuation(command.at, index)
+                    )
+                case cmd.RestoreZone():
+                    self._restore_zone(command)
         return changed_jobs
 
     def _restore_snapshot(self, snapshot: _Snapshot) -> None:
@@ -196,6 +229,17 @@
         self.orders = snapshot.orders
         # Last settings of the tenants that only jobs refer to.
         self.removed_tenants = snapshot.removed_tenants
+        # Zones in which no run may start.
+        self.evacuated_zones = snapshot.evacuated_zones
+        # When each zone was restored, Unix seconds, the latest last. An order
+        # for such a zone is known as valid if its workers are gone.
+        self.restored_zones = snapshot.restored_zones
+
+    def _restore_zone(self, command: cmd.RestoreZone) -> None:
+        self.evacuated_zones.pop(command.zone, None)
+        self.restored_zones.setdefault(command.zone, command.at)
+        while len(self.restored_zones) > MAX_RESTORED_ZONES:
+            del self.restored_zones[next(iter(self.restored_zones))]
 
     def _drain(self, command: cmd.DrainWorker) -> None:
         born = self.draining.get(command.worker, command.born)
