Take orders to evacuate and restore a zone

Cause: operators order an evacuation at any coordinator and resend the order until it is acknowledged.

Change: POST and DELETE /galenarill/evacuation/ZONE send ChangeEvacuation to the leader, which answers when the entry is applied. A repeated order adds no entry, unless another change of the zone is being committed: then the log decides. An unknown zone is refused with UNKNOWN_ZONE (404), one of REFUSALS, so that the answer is given only if no attempt may have been executed. A leader that has led for less than 3 s and has no `zones` setting answers 503 instead, since it may not have heard of all workers.

--- a/galenarill/cluster/messages.py
+++ b/galenarill/cluster/messages.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from galenarill.common import JobId, MachineId, VmId, WorkerId
+from galenarill.common import (
+    AvailabilityZoneId,
+    JobId,
+    MachineId,
+    VmId,
+    WorkerId,
+)
 from galenarill.jobs.model import JobSpec
 from galenarill.routing import Configuration
 from galenarill.workers.report import WorkerReport
@@ -21,6 +27,7 @@
     "WorkerLeft",
     "BeginWave",
     "AskWave",
+    "ChangeEvacuation",
     "Code",
     "REFUSALS",
     "CHANGES",
@@ -131,6 +138,13 @@
     wave: int
 
 
+class ChangeEvacuation(msgspec.Struct, frozen=True, array_like=True, tag="ez"):
+    """Request to evacuate a zone, or to revoke its evacuation."""
+
+    zone: AvailabilityZoneId
+    is_evacuated: bool
+
+
 class Code(enum.Enum):
     """Outcome of a call."""
 
@@ -146,6 +160,7 @@
     INVALID = "invalid"
     # Another queue or tenant has a job with this id.
     ID_IN_USE = "id in use"
+    UNKNOWN_ZONE = "unknown zone"
 
 
 # Codes that say that a request was not carried out.
@@ -156,6 +171,7 @@
         Code.UNKNOWN_KEY,
         Code.INVALID,
         Code.ID_IN_USE,
+        Code.UNKNOWN_ZONE,
     }
 )
 
@@ -166,6 +182,7 @@
     ChangeConfiguration,
     ReportWorker,
     BeginWave,
+    ChangeEvacuation,
 )
 
 _Request = (
@@ -179,6 +196,7 @@
     | WorkerLeft
     | BeginWave
     | AskWave
+    | ChangeEvacuation
 )
 
 
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -14,7 +14,13 @@
     ReportWorker,
     WorkerLeft,
 )
-from galenarill.common import PoolId, VmId, WorkerId, monotonic_now
+from galenarill.common import (
+    AvailabilityZoneId,
+    PoolId,
+    VmId,
+    WorkerId,
+    monotonic_now,
+)
 from galenarill.consensus import (
     Entry,
     EntryKind,
@@ -63,6 +69,9 @@
 # Silence after which a link counts as half-open, in seconds. Twice the longest
 # interval of `Presence` messages.
 LINK_IDLE_TIMEOUT_SECONDS = 1.5
+# Time in which a new leader hears of every zone by workers' reports and the
+# machine list, in seconds: three periods of the reports.
+ZONES_KNOWN_SECONDS = 3.0
 
 
 class _ClusterStateMachine(StateMachine):
@@ -124,6 +133,8 @@
         self._machine_client = machine_client
         self._advice_client = advice_client
         self._machine_task: asyncio.Task | None = None
+        self._fleet: Fleet | None = None
+        self._led_since = float("inf")
         self._registry = WorkerRegistry()
         self._leader: Leader | None = None
         self._leader_client = LeaderClient(self._send)
@@ -134,7 +145,10 @@
         self._proposals = Proposals(self._driver, self._replica)
         self._state_machine.proposals = self._proposals
         self._request_handler = RequestHandler(
-            self._state, self._proposals.propose, self._can_serve_reads
+            self._state,
+            self._proposals.propose,
+            self._can_serve_reads,
+            self._knows_zone,
         )
         self._mesh = Mesh(
             self._vm,
@@ -244,6 +258,29 @@
     def _can_serve_reads(self) -> bool:
         return self._replica.can_serve_reads(monotonic_now())
 
+    def _knows_zone(self, zone: AvailabilityZoneId) -> bool | None:
+        """Return whether a worker, machine or VM is known in a zone.
+
+        Returns None while this leader may not have heard of all of them.
+        """
+        settings = self._settings
+        reports = [known.report for known in self._registry.workers.values()]
+        if self._leader is not None:
+            reports += [s.report for s in self._leader.sessions.values()]
+        machines = self._fleet.machines.values() if self._fleet else ()
+        if (
+            zone in settings.zones
+            or zone == settings.availability_zone
+            or any(report.zone == zone for report in reports)
+            or any(machine.zone == zone for machine in machines)
+        ):
+            return True
+        is_complete = (
+            settings.zones
+            or monotonic_now() > self._led_since + ZONES_KNOWN_SECONDS
+        )
+        return False if is_complete else None
+
     def _apply_report(self, report: WorkerReport) -> None:
         if not self._is_credible(report):
             return
@@ -402,6 +439,7 @@
             self._advice_client,
         )
         self._leader.start()
+        self._led_since = monotonic_now()
         if self._machine_client is not None:
             fleet = Fleet(
                 term,
@@ -412,6 +450,7 @@
                 settings.vm,
                 settings.machine_lease_ms / 1000,
             )
+            self._fleet = fleet
             self._leader.disruptions.watch(fleet)
             rebalancer = PoolRebalancer(self._leader, self._state, fleet)
             wave_runner = WaveRunner(
@@ -425,6 +464,7 @@
     def _stop_leading(self) -> None:
         self._leader.stop()
         self._leader = None
+        self._fleet = None
         if self._machine_task is not None:
             self._machine_task.cancel()
             self._machine_task = None
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -6,7 +6,13 @@
 
 from galenarill.cluster import messages as msg
 from galenarill.cluster.messages import Code, Reply
-from galenarill.common import JobId, TeamId, monotonic_now, wall_now
+from galenarill.common import (
+    AvailabilityZoneId,
+    JobId,
+    TeamId,
+    monotonic_now,
+    wall_now,
+)
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
     AcceptJob,
@@ -14,8 +20,10 @@
     ClusterState,
     Configure,
     DrainWorker,
+    EvacuateZone,
     Job,
     JobStatus,
+    RestoreZone,
     StartWave,
 )
 from galenarill.routing import Queue, Refusal
@@ -45,6 +53,7 @@
         state: ClusterState,
         propose: Callable,
         can_serve_reads: Callable[[], bool],
+        knows_zone: Callable[[AvailabilityZoneId], bool | None],
     ):
         """Create a handler that reads `state`.
 
@@ -53,10 +62,17 @@
             propose: Proposes commands, and returns a future of their commit.
             can_serve_reads: Returns whether this replica leads and `state` is
                 up to date.
+            knows_zone: Returns whether a worker, machine or VM is in a zone,
+                or None if not all of them are known yet.
         """
         self._state = state
         self._propose = propose
         self._can_serve_reads = can_serve_reads
+        self._knows_zone = knows_zone
+        # Number of uncommitted changes of each zone.
+        self._changing_zones: collections.Counter[AvailabilityZoneId] = (
+            collections.Counter()
+        )
         # Path of the queue, and tenant, of the jobs that are being accepted.
         self._accepting: dict[JobId, tuple[tuple[str, str], TeamId]] = {}
         self._counted_at = float("-inf")
@@ -89,6 +105,8 @@
                     return await self._start_wave(call, request)
                 case msg.AskWave():
                     return self._wave_status(call, request)
+                case msg.ChangeEvacuation():
+                    return await self._change_evacuation(call, request)
         except NotLeaderError:
             return Reply(call, Code.UNSETTLED)
         return Reply(call, Code.INVALID)
@@ -275,6 +293,46 @@
         text = "completed" if wave.is_completed else "running"
         return Reply(call, Code.DONE, text)
 
+    async def _change_evacuation(
+        self, call: int, request: msg.ChangeEvacuation
+    ) -> Reply:
+        zone, state = request.zone, self._state
+        is_ordered = zone in state.evacuated_zones or (
+            zone in state.restored_zones
+        )
+        if not is_ordered:
+            is_known = self._knows_zone(zone)
+            if is_known is None:
+                return Reply(call, Code.NOT_LEADING)
+            if not is_known:
+                logger.info("zone unknown", extra={"zone": zone})
+                return Reply(call, Code.UNKNOWN_ZONE)
+        in_force = (
+            state.evacuated_zones
+            if request.is_evacuated
+            else state.restored_zones
+        )
+        # While another change is being committed, the log decides.
+        if zone in in_force and not self._changing_zones[zone]:
+            return Reply(call, Code.DONE)
+        command = EvacuateZone if request.is_evacuated else RestoreZone
+        self._changing_zones[zone] += 1
+        try:
+            await self._propose(command(zone, wall_now()))
+        finally:
+            self._changing_zones[zone] -= 1
+            if not self._changing_zones[zone]:
+                del self._changing_zones[zone]
+        logger.info(
+            "zone evacuated" if request.is_evacuated else "zone restored",
+            extra={
+                "zone": zone,
+                "version": state.version,
+                "evacuated": sorted(state.evacuated_zones),
+            },
+        )
+        return Reply(call, Code.DONE)
+
     def _find_job(self, request) -> Job | Refusal | None:
         found = self._state.routing.find(
             request.host, request.path, request.key
--- a/galenarill/coordinator/tests/request_cluster.py
+++ b/galenarill/coordinator/tests/request_cluster.py
@@ -41,6 +41,10 @@
             simulation.state,
             lambda *commands: simulation.propose(simulation.term, *commands),
             lambda: True,
+            lambda zone: any(
+                session.report.zone == zone
+                for session in simulation.leader.sessions.values()
+            ),
         )
 
     def _add_worker(self, name):
--- a/galenarill/platform/control.py
+++ b/galenarill/platform/control.py
@@ -8,14 +8,16 @@
     AskWave,
     BeginWave,
     ChangeConfiguration,
+    ChangeEvacuation,
     Code,
     NoAnswerError,
     NoLeaderError,
     ReadConfiguration,
 )
-from galenarill.common import WorkerId, monotonic_now
+from galenarill.common import AvailabilityZoneId, WorkerId, monotonic_now
 from galenarill.coordinator.service import CoordinatorService
 from galenarill.errors import ProtocolError
+from galenarill.platform.fields import is_zone_id
 from galenarill.platform.http import RETRY_AFTER_HEADERS, json_response, listen
 from galenarill.platform.wire import (
     decode_configuration,
@@ -28,6 +30,7 @@
 
 INSTANCES_PREFIX = "/galenarill/instances/"
 WAVE_STATUS_PREFIX = "/galenarill/wave-get/"
+EVACUATION_PREFIX = "/galenarill/evacuation/"
 # Clients fail over to another node after 1 s, so respond before that.
 CALL_TIMEOUT_SECONDS = 0.9
 # Digits of the largest number of a wave.
@@ -74,6 +77,10 @@
                 return await self._change_state(BeginWave(*wave))
             if path.startswith(WAVE_STATUS_PREFIX) and method == "GET":
                 return await self._wave_status(path[len(WAVE_STATUS_PREFIX) :])
+            if path.startswith(EVACUATION_PREFIX):
+                return await self._change_evacuation(
+                    method, path[len(EVACUATION_PREFIX) :]
+                )
         except ProtocolError as error:
             return json_response({"error": str(error)}, 400)
         except (NoLeaderError, NoAnswerError):
@@ -116,6 +123,24 @@
             return json_response({"error": configuration.value}, 400)
         return await self._change_state(ChangeConfiguration(configuration))
 
+    async def _change_evacuation(self, method: str, zone: str) -> web.Response:
+        if method not in ("POST", "DELETE"):
+            return web.Response(status=405)
+        if not is_zone_id(zone):
+            raise ProtocolError(
+                "not a valid zone id: letters, digits, '.', '_' and '-', at "
+                f"most 64, not {zone[:80]!r}"
+            )
+        reply = await self._call_leader(
+            ChangeEvacuation(AvailabilityZoneId(zone), method == "POST")
+        )
+        match reply.code:
+            case Code.DONE:
+                return json_response({})
+            case Code.UNKNOWN_ZONE:
+                return json_response({"error": f"no zone {zone!r}"}, 404)
+        return _service_unavailable()
+
     async def _wave_status(self, wave: str) -> web.Response:
         if not wave.isdecimal() or len(wave) > MAX_WAVE_DIGITS:
             return json_response({"error": "not a wave"}, 400)
--- a/galenarill/platform/deployment.py
+++ b/galenarill/platform/deployment.py
@@ -20,6 +20,9 @@
 AUDIENCES = ("front", "control")
 
 _SETTING_KEY = re.compile(r"^(\w+) *=", re.MULTILINE)
+# Sections render their content once per entry of a table.
+_SECTION_BEGIN = re.compile(r"\{\{#([\w.]+)\}\}")
+_SECTION_END = re.compile(r"\{\{/([\w.]+)\}\}")
 _METRICS_ENDPOINT = re.compile(r"\d{1,5}/\S+")
 _Faults = list[tuple[str, str]]
 
@@ -132,6 +135,10 @@
         faults.append(("", f"must be smaller than {MAX_TEMPLATE_BYTES} bytes"))
     if text.count("{{") != text.count("}}"):
         faults.append(("", "a placeholder is not closed"))
+    if sorted(_SECTION_BEGIN.findall(text)) != sorted(
+        _SECTION_END.findall(text)
+    ):
+        faults.append(("", "a section is not closed"))
     keys = _SETTING_KEY.findall(text)
     known = {field.name: field for field in dataclasses.fields(NodeSettings)}
     faults += [(key, "is no setting") for key in keys if key not in known]
@@ -143,7 +150,9 @@
     faults += [
         (name, "is missing")
         for name, field in known.items()
-        if field.default is dataclasses.MISSING and name not in keys
+        if field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+        and name not in keys
     ]
     return faults
 
--- a/galenarill/platform/fields.py
+++ b/galenarill/platform/fields.py
@@ -11,6 +11,7 @@
     "Number",
     "is_address",
     "is_id",
+    "is_zone_id",
     "finite",
     "whole",
 ]
@@ -30,6 +31,8 @@
 
 _ADDRESS = re.compile(r"([A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
 
+_ZONE_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+
 
 def is_address(text: str) -> bool:
     """Return whether `text` is the `host:port` of a server.
@@ -57,6 +60,16 @@
     )
 
 
+def is_zone_id(text: str) -> bool:
+    """Return whether `text` can name an availability zone.
+
+    Example:
+        >>> is_zone_id("eu-1a"), is_zone_id("two words"), is_zone_id("..")
+        (True, False, False)
+    """
+    return _ZONE_ID.fullmatch(text) is not None
+
+
 def whole(value) -> int:
     """Return an integer field of a row.
 
--- a/galenarill/platform/machine_client.py
+++ b/galenarill/platform/machine_client.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from galenarill.common import MachineId, PoolId, WorkerId
+from galenarill.common import AvailabilityZoneId, MachineId, PoolId, WorkerId
 from galenarill.errors import ProtocolError
 from galenarill.platform.fields import Amount, is_id
 from galenarill.pools import (
@@ -49,6 +49,7 @@
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     # Id of the worker that runs on the machine now.
     id: str | None = None
+    zone: str | None = None
 
 
 class _MachineId(msgspec.Struct):
@@ -215,4 +216,5 @@
         raw.labels[0] if raw.labels else "",
         Resources(raw.capacity.cpu, raw.capacity.mem_mb, raw.capacity.gpu),
         WorkerId(raw.id or ""),
+        AvailabilityZoneId(raw.zone or ""),
     )
--- a/galenarill/pools/machines.py
+++ b/galenarill/pools/machines.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from galenarill.common import MachineId, PoolId, RackId, WorkerId
+from galenarill.common import (
+    AvailabilityZoneId,
+    MachineId,
+    PoolId,
+    RackId,
+    WorkerId,
+)
 from galenarill.errors import GalenarillError
 from galenarill.routing import Resources
 
@@ -43,6 +49,7 @@
         kind: Kind of machine, or "".
         capacity: Capacity of its worker.
         worker: Current worker, or "" while there is none.
+        zone: Availability zone, or "" if not listed.
     """
 
     id: MachineId
@@ -52,6 +59,7 @@
     kind: str
     capacity: Resources
     worker: WorkerId
+    zone: AvailabilityZoneId = AvailabilityZoneId("")
 
 
 class MachineList(msgspec.Struct, frozen=True):
--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -35,6 +35,8 @@
             exclusive right to send orders to a machine.
         max_worker_lease_ms: Longest lease that a worker accepts; a longer one
             is cut to it.
+        zones: Availability zones that can be evacuated even if no worker or
+            machine in them is known.
     """
 
     vm: str
@@ -56,6 +58,7 @@
     grace_seconds: float = 6.0
     machine_lease_ms: float = 3000.0
     max_worker_lease_ms: float = 10_000.0
+    zones: list[str] = dataclasses.field(default_factory=list)
 
     @property
     def link_address(self) -> VmId:
