Send no starts to workers of evacuated zones

Cause: from the acknowledgement of an evacuation on, no start may be sent to the zone, including runs that are committed and not sent yet, that got no answer, or that an earlier leader left behind.

Change: placement and the choice of workers to ask advice about skip the zone, and with placement so do preemption, holding and trials. The zone is checked before each attempt to send a start; the run is released, through a stop if an attempt got no answer. Active runs stay. After a restoration a worker with cold_left_ms above 0 gets only what fits on no warm worker of its pool. Without an evacuated or restored zone this adds one truth test each per round.

--- a/galenarill/coordinator/advisor.py
+++ b/galenarill/coordinator/advisor.py
@@ -143,7 +143,7 @@
         answers = self._answers.get(step_key, {})
         allowed: list[Incarnation] = []
         others: list[Incarnation] = []
-        for worker, session in self._context.sessions.items():
+        for worker, session in self._context.usable_sessions():
             if (
                 session.report.pool != pool
                 or (label and label not in session.report.labels)
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -60,6 +60,7 @@
 # 1 while this coordinator leads. Its other gauges are stale otherwise.
 _IS_LEADING = meter().create_gauge("galenarill_leads")
 _VERSION = meter().create_gauge("galenarill_configuration_version")
+_EVACUATED_ZONES = meter().create_gauge("galenarill_evacuated_zones")
 _TENANT_CPU = meter().create_gauge("galenarill_tenant_running_cpu")
 
 TICK_SECONDS = 0.1
@@ -155,7 +156,13 @@
         """Adopt the runs in the replicated state and start scheduling."""
         _TERMS_LED.add(1)
         _IS_LEADING.set(1)
-        logger.info("leading", extra={"term": self.term})
+        logger.info(
+            "leading",
+            extra={
+                "term": self.term,
+                "evacuated_zones": sorted(self._state.evacuated_zones),
+            },
+        )
         now = monotonic_now()
         for job_id, job in self._state.jobs.items():
             self.runs.update(self._state, job_id, Phase.INHERITED, now)
@@ -349,7 +356,11 @@
         )
 
     def add_load(self, loads: dict[PoolId, PoolLoad]) -> None:
-        """Add running and waiting tasks to the load of each pool."""
+        """Add running and waiting tasks to the load of each pool.
+
+        Runs in evacuated zones need none of the machines that count.
+        """
+        evacuated = self._evacuated_workers()
         wall_time = wall_now()
         late_jobs = {
             waiting.job
@@ -367,6 +378,8 @@
                 job_id, math.inf
             )
             for run in self.runs.runs_of(job_id):
+                if evacuated and run.incarnation.worker in evacuated:
+                    continue
                 if run.step.is_long_running:
                     load.lasting = load.lasting.plus(run.step.reserved)
                 elif is_late:
@@ -395,6 +408,16 @@
         for pool, load in loads.items():
             load.arriving = self._arrivals.capacity(pool, now)
 
+    def _evacuated_workers(self) -> frozenset[WorkerId]:
+        zones = self._state.evacuated_zones
+        if not zones:
+            return frozenset()
+        return frozenset(
+            worker
+            for worker, session in self.sessions.items()
+            if session.report.zone in zones
+        )
+
     async def _tick(self) -> None:
         await asyncio.sleep(TICK_SECONDS)
         if not self._context.has_leader_lease():
@@ -408,6 +431,7 @@
 
     async def _do_housekeeping(self) -> None:
         _VERSION.set(self._state.routing.configuration.version)
+        _EVACUATED_ZONES.set(len(self._state.evacuated_zones))
         for tenant, used in self.runs.used_by_tenant.items():
             _TENANT_CPU.set(used.cpu, {"tenant": tenant})
         if self._context.has_leader_lease():
--- a/galenarill/coordinator/orders.py
+++ b/galenarill/coordinator/orders.py
@@ -61,6 +61,10 @@
                     # The incarnation ended before its start was committed.
                     await self._end_committer.end(run, RunOutcome.REJECTED)
                 return
+            if self._context.is_evacuated(session):
+                self._log_withheld(run, session)
+                await self._release_unstarted(run)
+                return
             if self._context.is_draining(session) or not self._has_room(
                 run, session
             ):
@@ -78,6 +82,19 @@
                     return
             await asyncio.sleep(RETRY_SECONDS)
 
+    def _log_withheld(self, run: TrackedRun, session: WorkerSession) -> None:
+        logger.info(
+            "start withheld",
+            extra={
+                "job": run.job,
+                "task": run.name,
+                "run": run.number,
+                "worker": run.incarnation.worker,
+                "zone": session.report.zone,
+                "is_unanswered": run.has_unanswered_start,
+            },
+        )
+
     def _has_room(self, run: TrackedRun, session: WorkerSession) -> bool:
         """Return whether a run fits its worker, whose capacity may have shrunk.
 
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -234,6 +234,7 @@
         available = self._available_workers(
             {group.pool for group in groups}, proposed
         )
+        cold = self._take_cold_workers(available, proposed)
         usage, quotas = self._tenant_usage(proposed)
         wall_time = wall_now()
         # Number of tasks on each worker, by job, occurrence and step.
@@ -271,6 +272,17 @@
             make_candidate,
         )
         waiting = [group for group in groups if group.keys]
+        if cold:
+            for pool, members in cold.items():
+                available[pool] += members
+            placements += place_groups(
+                [group for group in waiting if not group.is_trial],
+                Packer(available, quotas, held),
+                usage,
+                wall_time,
+                make_candidate,
+            )
+            waiting = [group for group in waiting if group.keys]
         for group in waiting:
             self.unplaced.setdefault(group.pool, []).append(
                 UnplacedTasks(
@@ -452,7 +464,7 @@
         for _, start in proposed:
             _add(proposed_by_worker, start.worker, start.step.reserved)
         available: dict[PoolId, list[AvailableWorker]] = {}
-        for worker, session in self._context.sessions.items():
+        for worker, session in self._context.usable_sessions():
             report = session.report
             if report.pool not in pools or not self._accepts_starts(
                 session, now
@@ -471,6 +483,38 @@
             )
         return available
 
+    def _take_cold_workers(
+        self, available: dict[PoolId, list[AvailableWorker]], proposed: list
+    ) -> dict[PoolId, list[AvailableWorker]]:
+        """Remove and return the cold workers of pools with warm ones.
+
+        They answer the load after a zone is restored: its workers start tasks
+        slowly at first, so they get only what fits on no other worker.
+        """
+        restored = self._context.state.restored_zones
+        if not restored:
+            return {}
+        # Workers with a trial stay, since they are reserved for it.
+        trial_workers = self._crash_monitor.trial_workers()
+        trial_workers |= {
+            start.worker for _, start in proposed if start.is_trial
+        }
+        cold: dict[PoolId, list[AvailableWorker]] = {}
+        for pool, members in available.items():
+            warm: list[AvailableWorker] = []
+            others: list[AvailableWorker] = []
+            for available_worker in members:
+                report = available_worker.report
+                is_cold = (
+                    report.cold_left_ms > 0
+                    and report.zone in restored
+                    and report.worker not in trial_workers
+                )
+                (others if is_cold else warm).append(available_worker)
+            if others and any(not w.is_suspect for w in warm):
+                available[pool], cold[pool] = warm, others
+        return cold
+
     def _accepts_starts(self, session: WorkerSession, now: float) -> bool:
         report = session.report
         return (
--- a/galenarill/coordinator/term.py
+++ b/galenarill/coordinator/term.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from galenarill.common import WorkerId, monotonic_now
 from galenarill.coordinator.runs import RunIndex, TrackedRun
@@ -103,6 +103,21 @@
             return None
         return session
 
+    def usable_sessions(self) -> Collection[tuple[WorkerId, WorkerSession]]:
+        """Return the workers outside evacuated zones, with their sessions."""
+        evacuated = self.state.evacuated_zones
+        if not evacuated:
+            return self.sessions.items()
+        return [
+            (worker, session)
+            for worker, session in self.sessions.items()
+            if session.report.zone not in evacuated
+        ]
+
+    def is_evacuated(self, session: WorkerSession) -> bool:
+        """Return whether a worker is in an evacuated zone."""
+        return session.report.zone in self.state.evacuated_zones
+
     def is_answering(self, session: WorkerSession) -> bool:
         """Return whether a worker has answered recently."""
         return session.answered_at > monotonic_now() - ANSWER_SECONDS
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -81,6 +81,7 @@
         advice=None,
         other_pools=(),
         has_machines=False,
+        zones=None,
     ):
         self.advice = advice
         self.commit_seconds = commit_seconds
@@ -100,6 +101,7 @@
 
         async def start():
             self.network = FakeWorkers(seed, seconds_of)
+            self.network.zones = zones or {}
             configuration = make_configuration(
                 limit=limit, advice=advice, other_pools=other_pools
             )
@@ -290,6 +292,19 @@
 
         self.run(apply())
 
+    def restore_snapshot(self):
+        """Replace the state by what its snapshot holds, and take over."""
+
+        async def run():
+            if self.leader is not None:
+                self.leader.stop()
+            self.state = ClusterState()
+            self.state.restore(data, index)
+            self.start_term()
+
+        data, index = self.state.encode(), self.state.version
+        self.run(run())
+
     def call(self, function, *arguments):
         async def run():
             return function(*arguments)
--- a/galenarill/coordinator/tests/test_leader_machine.py
+++ b/galenarill/coordinator/tests/test_leader_machine.py
@@ -1,5 +1,7 @@
 """State machine test: takeovers, restarts, cuts, crashes, lost orders."""
 
+from typing import ClassVar
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
@@ -12,6 +14,9 @@
 
 
 class LeaderMachine(RuleBasedStateMachine):
+    # Zone of each worker that isn't in zone "a".
+    zones: ClassVar[dict[str, str]] = {}
+
     @initialize(seed=st.integers(0, 2**16))
     def start(self, seed):
         rng_seconds = (0.2, 0.7, 1.5, 3.0)
@@ -23,7 +28,9 @@
             how = "failed" if number % 11 == 0 else "done"
             return rng_seconds[number % 4], how
 
-        self.simulation = Simulation(seed, seconds_of, limit=5)
+        self.simulation = Simulation(
+            seed, seconds_of, limit=5, zones=self.zones
+        )
         self.jobs = 0
 
     @rule(count=st.integers(1, 5), tenant=st.sampled_from(["", "t"]))
--- a/galenarill/platform/wire.py
+++ b/galenarill/platform/wire.py
@@ -158,6 +158,7 @@
     # The worker's kind, followed by its rack.
     labels: list[str] = []
     remaining_ms: Number = 0
+    cold_left_ms: Number = 0
 
 
 class _RunLists(msgspec.Struct):
@@ -288,6 +289,7 @@
         _to_resources(raw.capacity),
         raw.state == "draining",
         raw.remaining_ms,
+        raw.cold_left_ms,
     )
 
 
--- a/galenarill/workers/report.py
+++ b/galenarill/workers/report.py
@@ -35,6 +35,8 @@
         capacity: Total capacity.
         is_draining: Whether it is about to leave.
         remaining_ms: Minimum time left to a draining worker, in milliseconds.
+        cold_left_ms: Time for which it is cold, so that tasks take longer on
+            it, in milliseconds; 0 for a warm one.
     """
 
     worker: WorkerId
@@ -49,6 +51,7 @@
     capacity: Resources
     is_draining: bool = False
     remaining_ms: float = 0.0
+    cold_left_ms: float = 0.0
 
 
 def begins_in_future(born: int) -> bool:
--- a/standins/worker_network.py
+++ b/standins/worker_network.py
@@ -35,6 +35,7 @@
             time out.
         startup_seconds: Time from the start of a long-running task until it
             serves, on workers added from then on.
+        zones: Zone of each worker that isn't in zone "a", by its name.
         on_stop: Called when a stop takes effect with the record of the run,
             and whether the order was delayed; or None.
     """
@@ -58,6 +59,7 @@
         self.gangs: set[str] = set()
         self.resets_connections = False
         self.startup_seconds = 0.0
+        self.zones: dict[str, str] = {}
         self.on_stop = None
         self._rng = random.Random(seed)
         self._simulate_run = seconds_of or (lambda task, run: (1.0, "done"))
@@ -87,7 +89,7 @@
             pool,
             machine,
             address,
-            "a",
+            self.zones.get(name, "a"),
             "r1",
             ("a", "r1"),
             Resources(max_tasks, 1000, 0),
