Leave machines of evacuated zones out of the pools

Cause: machines that may start nothing don't serve their pool, and moving one to a pool in need would take the place of one that can.

Runs that go on there don't count as demand on the others. The remaining machines are divided as under overload. A machine's zone is the one that its worker reports, or else the one of the machine list.

Tested: plans with evacuated spare, idle, busy and unmovable machines, the division of the rest, and a play in which a zone with half of a pool's machines is evacuated under load and restored.

--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -4,7 +4,13 @@
 import logging
 import math
 
-from galenarill.common import MachineId, PoolId, WorkerId, monotonic_now
+from galenarill.common import (
+    AvailabilityZoneId,
+    MachineId,
+    PoolId,
+    WorkerId,
+    monotonic_now,
+)
 from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.fleet import Fleet
 from galenarill.coordinator.guards import IdleGuard
@@ -86,8 +92,13 @@
         self._update_idle_since(now)
         self._update_silent_since(now)
         loads = self._pool_loads(now)
+        evacuated = self._state.evacuated_zones
         members = [
-            self._member(machine, now)
+            self._member(
+                machine,
+                now,
+                bool(evacuated) and self._zone_of(machine) in evacuated,
+            )
             for machine in self._fleet.machines.values()
         ]
         self._log_pools(loads, members, now)
@@ -175,7 +186,17 @@
                 if at >= now - LENDING_WINDOW_SECONDS
             )
 
-    def _member(self, machine: Machine, now: float) -> PoolMachine:
+    def _zone_of(self, machine: Machine) -> AvailabilityZoneId:
+        """Return the zone of a machine by its worker, else by the list.
+
+        Starts are withheld by the zone that the worker reports.
+        """
+        session = self._leader.sessions.get(machine.worker)
+        return machine.zone if session is None else session.report.zone
+
+    def _member(
+        self, machine: Machine, now: float, is_evacuated: bool
+    ) -> PoolMachine:
         since = self._idle_since.get(machine.worker)
         session = self._leader.sessions.get(machine.worker)
         runs = self._leader.runs.by_worker.get(machine.worker, {}).values()
@@ -197,6 +218,7 @@
             # A start that is being proposed counts as a run.
             max(len(runs), since is None),
             any(run.step.is_long_running for run in runs),
+            is_evacuated,
         )
 
     def _log_pools(
--- a/galenarill/coordinator/tests/machines.py
+++ b/galenarill/coordinator/tests/machines.py
@@ -74,7 +74,14 @@
     def set(self, name, pool, state, worker):
         """Set what the platform lists of a machine."""
         self.machines[name] = Machine(
-            name, pool, state, "r1", "a", Resources(4, 1000), worker
+            name,
+            pool,
+            state,
+            "r1",
+            "a",
+            Resources(4, 1000),
+            worker,
+            self._simulation.network.zones.get(f"{name}-worker", "a"),
         )
 
     async def list(self):
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -7,7 +7,13 @@
     start_wave,
     take_over,
 )
-from galenarill.jobs import JobStatus, MoveMachine, OrderMaintenance
+from galenarill.jobs import (
+    EvacuateZone,
+    JobStatus,
+    MoveMachine,
+    OrderMaintenance,
+    RestoreZone,
+)
 from galenarill.pools import MachineVerdict
 
 
@@ -317,3 +323,40 @@
     # The silent machines are left alone: their runs may go on.
     moved = {order[1] for order in machines.orders if order[4] > 1002.5}
     assert not moved & {machine.id for machine in in_use[:2]}
+
+
+def test_machines_of_an_evacuated_zone_are_switched_off_when_idle(make):
+    """Work in other zones goes on, and a restored zone's machines return."""
+    pools = {f"n{n}": "pool" for n in range(6)} | {"s0": "spare"}
+    zones = {f"n{n}-worker": "b" for n in range(3)} | {"s0-worker": "b"}
+    simulation, machines = make(
+        pools, zones=zones, seconds_of=lambda task, run: (1.5, "done")
+    )
+    simulation.submit("j", 24)
+    simulation.advance(1)
+    at = simulation.loop.time()
+    simulation.call(simulation.apply, [EvacuateZone("b", at)])
+    simulation.submit("k", 60)
+    simulation.advance(8)
+    in_zone = [m for m in machines.machines.values() if m.zone == "b"]
+    assert {m.pool for m in in_zone} == {"spare"}
+    moved_in = [
+        name
+        for _, name, target, _, ordered_at in machines.orders
+        if target == "pool" and ordered_at > at
+    ]
+    assert not {machine.id for machine in in_zone}.intersection(moved_in)
+    assert not [
+        begun
+        for begun in simulation.network.history
+        if begun.worker in zones and begun.begun_at > at + 0.05
+    ]
+    at = simulation.loop.time()
+    simulation.call(simulation.apply, [RestoreZone("b", at)])
+    simulation.submit("i", 200)
+    simulation.advance(20)
+    assert simulation.all_completed()
+    assert any(
+        begun.worker in zones and begun.begun_at > at
+        for begun in simulation.network.history
+    )
--- a/galenarill/pools/plan.py
+++ b/galenarill/pools/plan.py
@@ -88,6 +88,8 @@
         is_arriving: Whether it is being moved to the pool.
         run_count: Number of its runs.
         has_lasting_run: Whether one of them is a long-running task.
+        is_evacuated: Whether its zone is evacuated. It then counts toward no
+            pool, and moves only to a spare pool.
     """
 
     machine: MachineId
@@ -100,6 +102,7 @@
     is_arriving: bool = False
     run_count: int = 0
     has_lasting_run: bool = False
+    is_evacuated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,6 +218,7 @@
     planner.borrow()
     planner.release(members, releasing)
     planner.shrink()
+    planner.switch_off_evacuated(members)
     return MovePlan(planner.moves, planner.releasing)
 
 
@@ -231,7 +235,10 @@
         for member in members:
             by_pool.setdefault(member.pool, []).append(member)
         self._sizes = {
-            pool: sum(member.is_counted for member in by_pool[pool])
+            pool: sum(
+                member.is_counted and not member.is_evacuated
+                for member in by_pool[pool]
+            )
             for pool in loads
         }
         needs = {pool: needed_machines(loads[pool], capacity) for pool in loads}
@@ -249,7 +256,9 @@
         for pool, load in loads.items():
             self._targets[pool] = self._desired[pool]
             missing = _missing_machines(load, capacity)
-            if missing and not any(m.is_arriving for m in by_pool[pool]):
+            if missing and not any(
+                m.is_arriving and not m.is_evacuated for m in by_pool[pool]
+            ):
                 self._targets[pool] = max(
                     self._desired[pool], self._sizes[pool] + missing
                 )
@@ -300,6 +309,7 @@
                 member
                 for member in members
                 if member.is_movable
+                and not member.is_evacuated
                 and member.run_count
                 and not member.has_lasting_run
                 and member.pool in self._loads
@@ -332,12 +342,35 @@
                 if self._move(member, spare):
                     break
 
+    def switch_off_evacuated(self, members: list[PoolMachine]) -> None:
+        """Move idle machines of evacuated zones to the spare pool.
+
+        They can't serve their pool, whatever its load, and don't change its
+        size.
+        """
+        spares = [pool for pool, load in self._loads.items() if load.is_spare]
+        for member in members:
+            if (
+                not member.is_evacuated
+                or not member.is_movable
+                or member.run_count
+                or member.idle_seconds < RELEASE_IDLE_SECONDS
+                or member.pool not in self._loads
+                or self._loads[member.pool].is_spare
+            ):
+                continue
+            for spare in spares:
+                if (member.kind, spare) not in self._refused:
+                    self.moves.append(Move(member.machine, spare))
+                    break
+
     def _free_members(self, members: list[PoolMachine]) -> list[PoolMachine]:
         """Return the movable machines, spare ones first, then longest idle."""
         free = [
             member
             for member in members
             if member.is_movable
+            and not member.is_evacuated
             and member.pool in self._loads
             and (self._loads[member.pool].is_spare or not member.run_count)
         ]
--- a/galenarill/pools/tests/test_plan.py
+++ b/galenarill/pools/tests/test_plan.py
@@ -182,3 +182,38 @@
     pools = loads(a=3)
     pools["a"].waiting_lasting = pools["a"].waiting = Resources(5, 450)
     assert len(moves_of(pools, members)) == 5
+
+
+def test_machines_of_an_evacuated_zone_are_not_moved_to_a_pool_in_need():
+    members = [member("a1", "a", 0.0), member("a2", "a", is_evacuated=True)]
+    members += [
+        member("s1", "spare", is_evacuated=True),
+        member("b1", "b", 0.0, is_evacuated=True),
+        member("s2", "spare"),
+    ]
+    plan = plan_moves(loads(a=15, b=0), members)
+    assert plan.moves == [Move("s2", "a"), Move("a2", "spare")]
+    assert not plan.releasing
+
+
+def test_idle_machines_of_an_evacuated_zone_are_switched_off():
+    """Also while their pool needs machines, unless a run or order is left."""
+    members = [
+        member("a1", "a", is_evacuated=True),
+        member("a2", "a", 0.0, is_evacuated=True),
+        member("a3", "a", 0.3, is_evacuated=True),
+        member("a4", "a", is_up=False, is_evacuated=True),
+    ]
+    assert moves_of(loads(a=35), members) == [Move("a1", "spare")]
+
+
+def test_remaining_machines_are_divided_as_under_overload():
+    """Guards against shares that count machines of the evacuated zone."""
+    members = [member(f"a{n}", "a", 0.0) for n in range(3)]
+    members += [member("b0", "b", 0.0)]
+    members += [member(f"e{n}", "b", 0.0, is_evacuated=True) for n in range(4)]
+    plan = plan_moves(loads(a=40, b=40), members)
+    assert plan.releasing == {"a0"}
+    for machine in members:
+        machine.is_evacuated = False
+    assert not plan_moves(loads(a=25, b=40), members).releasing
