Test evacuations at processes, templates and decoders

Cause: the interface, the settings template and the survival of a kill of all coordinators are seen only at processes and files.

Change: a test orders an evacuation at three coordinator processes, kills all of them, and finds that a job waits until the zone is restored; it also checks the answers 400, 404 and 405, the gauge and the log line. Others cover the rendered list of zones, sections that are not closed, and the new fields of reports and of the machine list.

Tested: galenarill/platform, tests/test_platform.py and tests/test_layout.py pass.

--- a/galenarill/platform/tests/test_deployment.py
+++ b/galenarill/platform/tests/test_deployment.py
@@ -1,6 +1,8 @@
 """Tests of the deploy file and its settings template."""
 
 import pathlib
+import re
+import tomllib
 
 import pytest
 
@@ -77,3 +79,27 @@
 
 def test_malformed_toml_is_a_single_fault(tmp_path):
     assert faults_of(write_deployment(tmp_path, "[roles")) == [""]
+
+
+def test_a_section_that_is_not_closed_is_reported(tmp_path):
+    template = (ROOT / "deploy/settings.toml").read_text()
+    file = write_deployment(tmp_path, template=template.replace("{{/", "{{"))
+    assert faults_of(file) == [""]
+
+
+def test_zones_of_the_template_are_a_list_of_names():
+    """Guards against a template that renders to malformed TOML."""
+    template = (ROOT / "deploy/settings.toml").read_text()
+    (line,) = re.findall("^zones = .*$", template, re.MULTILINE)
+    begin, entry, end = re.fullmatch(
+        r"(.*)\{\{#zones\}\}(.*)\{\{/zones\}\}(.*)", line
+    ).groups()
+    for zones in ([], ["a"], ["a", "eu-1b"]):
+        entries = [
+            entry.replace("{{@}}", zone).replace(
+                "{{,}}", "," if zone != zones[-1] else ""
+            )
+            for zone in zones
+        ]
+        rendered = begin + "".join(entries) + end
+        assert tomllib.loads(rendered) == {"zones": zones}
--- a/galenarill/platform/tests/test_odd_entries.py
+++ b/galenarill/platform/tests/test_odd_entries.py
@@ -257,6 +257,19 @@
     assert listed.is_complete == bool(unreadable)
 
 
+def test_zones_and_cold_workers_are_read_and_may_be_missing(monkeypatch):
+    machines = [MACHINE, MACHINE | {"machine": "m-2", "zone": "b"}]
+    page = json.dumps({"machines": machines}).encode()
+    listed = list_machines(monkeypatch, page).machines
+    assert [machine.zone for machine in listed] == [
+        MACHINE.get("zone", ""),
+        "b",
+    ]
+    for fields, cold_left_ms in (({}, 0.0), ({"cold_left_ms": 1500}, 1500.0)):
+        report = decode_report("i-1", json.dumps(REPORT | fields).encode())
+        assert report.cold_left_ms == cold_left_ms
+
+
 def test_a_page_that_follows_itself_ends_the_list(monkeypatch):
     page = json.dumps({"machines": [MACHINE], "next_token": "p"}).encode()
     with pytest.raises(MachineListError):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -139,6 +139,10 @@
             data=json.dumps(document),
         )
 
+    async def order_zone(self, method, zone, ip=COORDINATOR_IPS[0]):
+        url = f"http://{ip}:{CONTROL_PORT}/galenarill/evacuation/{zone}"
+        return await self.call(method, url)
+
     async def call_gateway(
         self, method, path, ip=GATEWAY_IPS[0], headers=KEY_HEADERS, **options
     ):
@@ -330,3 +334,50 @@
         )
 
     run_scenario(scenario)
+
+
+def test_an_evacuation_survives_a_kill_of_all_coordinators():
+    """All tasks wait, since the only workers are in the zone."""
+
+    async def scenario(system):
+        for zone, status in (
+            ("b", 404),
+            ("two%20words", 400),
+            ("a%2Fb", 400),
+            ("", 400),
+        ):
+            for method in ("POST", "DELETE"):
+                # A new leader answers 503 while it may not know all zones.
+                await system.call_until(
+                    lambda m=method, z=zone: system.order_zone(m, z), status
+                )
+        assert (await system.order_zone("GET", "a"))[0] == 405
+        for ip in COORDINATOR_IPS:
+            assert (await system.order_zone("POST", "a", ip))[0] == 200
+        leader = await system.find_leader()
+        log = system.folder / f"core-{COORDINATOR_IPS.index(leader)}.log"
+
+        async def count_lines():
+            return log.read_text().count('"zone evacuated"'), {}
+
+        url = f"http://{leader}:{LINK_PORT + 1}/metrics"
+
+        async def read_gauge():
+            async with system.session.get(url) as page:
+                text = await page.text()
+            gauge = re.search(r"galenarill_evacuated_zones{.*} 1\.0\n", text)
+            return gauge is not None, text
+
+        await system.call_until(read_gauge, True)
+        await system.call_until(count_lines, 1)
+        for ip in COORDINATOR_IPS:
+            await system.kill(ip)
+        for number, ip in enumerate(COORDINATOR_IPS):
+            await system.start_coordinator(number, ip)
+        await system.call_until(lambda: system.submit(JOB_ID), 200)
+        await asyncio.sleep(3)
+        assert not system.workers.history
+        await system.call_until(lambda: system.order_zone("DELETE", "a"), 200)
+        await system.wait_until_completed(JOB_ID)
+
+    run_scenario(scenario)
