--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -40,6 +40,8 @@
             counts in the order between tenants; 0 if only current usage counts.
         order_repeat_ms: Time without an answer after which an order to a worker
             is repeated for the first time; 0 for the timeout of all attempts.
+        zones: Availability zones that can be evacuated even if no worker or
+            machine in them is known.
     """
 
     vm: str
@@ -63,6 +65,7 @@
     max_worker_lease_ms: float = 10_000.0
     share_half_life_seconds: float = 0.0
     order_repeat_ms: float = 0.0
+    zones: list[str] = dataclasses.field(default_factory=list)
 
     @property
     def link_address(self) -> VmId:
