Replicate evacuations of zones in the state of the fleet

Cause: an operator needs to take the backend servers of a whole availability zone out of use (docs/design/overview.md, part 2).

Change: commands EvacuateZone and RestoreZone, and FleetState.evacuated_zones with version, time, operator and reason of each order. A zone without a VM of the settings is rejected; a repeated order is accepted without a change; an order outlives an edit that removes the zone's VMs.

--- a/galenarill/state/commands.py
+++ b/galenarill/state/commands.py
@@ -32,6 +32,8 @@
     "GiveAllotment",
     "TakeAllotment",
     "AcknowledgeAllotment",
+    "EvacuateZone",
+    "RestoreZone",
     "Command",
     "Change",
     "OutcomeCode",
@@ -209,6 +211,28 @@
     target: int
 
 
+class EvacuateZone(msgspec.Struct, frozen=True, array_like=True, tag="ze"):
+    """Orders that no request starts on the backend servers of a zone.
+
+    Attributes:
+        availability_zone: Zone to evacuate.
+        reason: Reason to record in the audit log.
+    """
+
+    availability_zone: AvailabilityZoneId
+    reason: str
+
+
+class RestoreZone(msgspec.Struct, frozen=True, array_like=True, tag="zr"):
+    """Revokes the evacuation of a zone.
+
+    Attributes:
+        availability_zone: Zone to restore.
+    """
+
+    availability_zone: AvailabilityZoneId
+
+
 Command = (
     EditSettings
     | GiveKey
@@ -222,6 +246,8 @@
     | GiveAllotment
     | TakeAllotment
     | AcknowledgeAllotment
+    | EvacuateZone
+    | RestoreZone
 )
 
 
--- a/galenarill/state/fleet.py
+++ b/galenarill/state/fleet.py
@@ -7,7 +7,13 @@
 import cbor2
 import msgspec
 
-from galenarill.common import ChangeId, KeyId, TeamId, VmId
+from galenarill.common import (
+    AvailabilityZoneId,
+    ChangeId,
+    KeyId,
+    TeamId,
+    VmId,
+)
 from galenarill.settings import (
     FleetSettings,
     flatten,
@@ -24,6 +30,7 @@
     KeyRecord,
     VmRecord,
     VmState,
+    ZoneEvacuation,
 )
 
 __all__ = ["FleetState"]
@@ -49,6 +56,7 @@
         self._keys: dict[KeyId, KeyRecord] = {}
         self._vms: dict[VmId, VmRecord] = {}
         self._limits: dict[TeamId, LimitEscrow] = {}
+        self._evacuated_zones: dict[AvailabilityZoneId, ZoneEvacuation] = {}
         self._recent_outcomes: collections.OrderedDict[ChangeId, Outcome] = (
             collections.OrderedDict()
         )
@@ -86,6 +94,11 @@
         """Upper limit and allotments by team."""
         return self._limits
 
+    @property
+    def evacuated_zones(self) -> dict[AvailabilityZoneId, ZoneEvacuation]:
+        """Zones on whose backend servers no request may start."""
+        return self._evacuated_zones
+
     @property
     def audit(self) -> collections.deque[AuditEntry]:
         """Most recent accepted changes, oldest first."""
@@ -132,18 +145,20 @@
     def encode(self) -> bytes:
         """Encode the state as a snapshot."""
         changes = [ChangeRecord(k, v) for k, v in self._recent_outcomes.items()]
-        return cbor2.dumps(
-            [
-                self._version,
-                [[list(p), v] for p, v in self._values.items()],
-                [[list(p), v] for p, v in self._modified_versions.items()],
-                msgspec.to_builtins(list(self._keys.values())),
-                msgspec.to_builtins(self._vms),
-                msgspec.to_builtins(self._limits),
-                msgspec.to_builtins(changes),
-                msgspec.to_builtins(list(self._audit)),
-            ]
-        )
+        parts = [
+            self._version,
+            [[list(p), v] for p, v in self._values.items()],
+            [[list(p), v] for p, v in self._modified_versions.items()],
+            msgspec.to_builtins(list(self._keys.values())),
+            msgspec.to_builtins(self._vms),
+            msgspec.to_builtins(self._limits),
+            msgspec.to_builtins(changes),
+            msgspec.to_builtins(list(self._audit)),
+        ]
+        if self._evacuated_zones:
+            # Earlier releases load only snapshots of eight parts.
+            parts.append(msgspec.to_builtins(self._evacuated_zones))
+        return cbor2.dumps(parts)
 
     @classmethod
     def decode(cls, data: bytes) -> "FleetState":
@@ -151,7 +166,7 @@
         state = cls()
         if not data:
             return state
-        version, values, modified, keys, vms, limits, changes, audit = (
+        version, values, modified, keys, vms, limits, changes, audit, *rest = (
             cbor2.loads(data)
         )
         state._version = version
@@ -165,6 +180,10 @@
         for record in msgspec.convert(changes, list[ChangeRecord]):
             state._recent_outcomes[record.change_id] = record.outcome
         state._audit.extend(msgspec.convert(audit, list[AuditEntry]))
+        if rest:
+            state._evacuated_zones = msgspec.convert(
+                rest[0], dict[str, ZoneEvacuation]
+            )
         return state
 
     def _accept(self, detail: str) -> Outcome:
@@ -435,6 +454,40 @@
             return self._refuse(OutcomeCode.STALE, "the target has changed")
         return self._accept(f"keeps to {command.target} slots")
 
+    @_execute.register
+    def _evacuate_zone(
+        self, command: commands.EvacuateZone, change: Change
+    ) -> Outcome:
+        zone = command.availability_zone
+        zones = {vm.availability_zone for vm in self._settings.vms.values()}
+        if zone not in zones:
+            text = f"no VM of the settings is in zone {zone!r}"
+            return self._refuse(OutcomeCode.NOT_FOUND, text)
+        if zone in self._evacuated_zones:
+            return self._accept(f"zone {zone} was evacuated already")
+        self._evacuated_zones[zone] = ZoneEvacuation(
+            self._version, change.at, change.operator, command.reason
+        )
+        in_service = sorted(zones - self._evacuated_zones.keys())
+        return self._accept(
+            f"zone {zone} is evacuated: {command.reason}; zones in service: "
+            f"{', '.join(in_service) or 'none'}"
+        )
+
+    @_execute.register
+    def _restore_zone(
+        self, command: commands.RestoreZone, change: Change
+    ) -> Outcome:
+        zone = command.availability_zone
+        if self._evacuated_zones.pop(zone, None) is not None:
+            return self._accept(f"zone {zone} is restored")
+        if all(
+            vm.availability_zone != zone for vm in self._settings.vms.values()
+        ):
+            text = f"no VM of the settings is in zone {zone!r}"
+            return self._refuse(OutcomeCode.NOT_FOUND, text)
+        return self._accept(f"zone {zone} was not evacuated")
+
 
 def _leaf_edits(edits: Iterable[commands.Edit]) -> Iterator[commands.Edit]:
     """Flatten edits of tables into edits of single values."""
--- a/galenarill/state/records.py
+++ b/galenarill/state/records.py
@@ -15,7 +15,14 @@
 )
 from galenarill.state.commands import Outcome
 
-__all__ = ["KeyRecord", "VmState", "VmRecord", "AuditEntry", "ChangeRecord"]
+__all__ = [
+    "KeyRecord",
+    "VmState",
+    "VmRecord",
+    "ZoneEvacuation",
+    "AuditEntry",
+    "ChangeRecord",
+]
 
 
 class KeyRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -69,6 +76,22 @@
         return self.state is VmState.SERVING
 
 
+class ZoneEvacuation(msgspec.Struct, frozen=True, array_like=True):
+    """An order to evacuate a zone that is in force.
+
+    Attributes:
+        version: State version in which the order was accepted.
+        at: Unix time in seconds of the order.
+        operator: Operator who gave the order.
+        reason: Reason for the order.
+    """
+
+    version: int
+    at: float
+    operator: OperatorId
+    reason: str
+
+
 class AuditEntry(msgspec.Struct, frozen=True, array_like=True):
     """Audit log entry of an accepted change.
 
--- a/galenarill/state/tests/test_fleet.py
+++ b/galenarill/state/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 from decimal import Decimal
 
+import cbor2
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -16,6 +17,7 @@
     Change,
     Edit,
     EditSettings,
+    EvacuateZone,
     FinishDrain,
     FleetState,
     GiveKey,
@@ -23,6 +25,7 @@
     OutcomeCode,
     ReportLoss,
     ReportReturn,
+    RestoreZone,
     StartDrain,
     VmState,
     WithdrawKey,
@@ -92,6 +95,7 @@
         self.grants = {}
         # Unplanned losses may exceed the budget, planned drains may not.
         self.lost = set()
+        self.evacuated_versions = {}
 
     @property
     def vms(self):
@@ -144,6 +148,17 @@
     def come_back(self, vm):
         self.log.apply(ReportReturn(vm))
 
+    @rule(reason=st.sampled_from(["fire", "flood"]))
+    def evacuate(self, reason):
+        """The first order stands; a repeat would hide who gave it and why."""
+        assert self.log.apply(EvacuateZone("az-a", reason)).is_accepted
+        self.evacuated_versions.setdefault("az-a", self.log.index)
+
+    @rule()
+    def restore(self):
+        assert self.log.apply(RestoreZone("az-a")).is_accepted
+        self.evacuated_versions.clear()
+
     @rule()
     def resend_last(self):
         before = self.log.states[0].encode()
@@ -165,6 +180,9 @@
             assert first.encode() == second.encode()
             assert set(first.vms) == set(VMS)
             assert all(vm.pool in POOLS for vm in first.vms.values())
+            zones = first.evacuated_zones.items()
+            versions = {zone: order.version for zone, order in zones}
+            assert versions == self.evacuated_versions
 
 
 TestFleet = FleetMachine.TestCase
@@ -244,3 +262,38 @@
     assert log.apply(EditSettings(edits)).is_accepted
     # 99 units are 29.7 processors: 14.85 slots of two processors each.
     assert log.states[0].limits["blue"].limit == 14
+
+
+def test_only_zones_with_a_vm_are_evacuated():
+    """A mistyped name must not be acknowledged as an evacuation."""
+    log = _log_with_settings()
+    for command in (EvacuateZone("az-A", "typo"), RestoreZone("az-A")):
+        assert log.apply(command).code is OutcomeCode.NOT_FOUND
+    assert not log.states[0].evacuated_zones
+
+
+def test_evacuation_outlives_the_removal_of_the_zones_vms():
+    """An order that settings could drop would return unnoticed VMs to use."""
+    log = _log_with_settings()
+    log.apply(EvacuateZone("az-a", "fire"))
+    edits = [Edit(("vms", vm), is_removed=True) for vm in VMS]
+    assert log.apply(EditSettings(tuple(edits))).is_accepted
+    assert "az-a" in log.states[0].evacuated_zones
+    assert log.apply(RestoreZone("az-a")).is_accepted
+    assert not log.states[0].evacuated_zones
+
+
+def test_snapshots_are_exchanged_with_earlier_releases():
+    """An entry VM of the earlier release loads exactly eight parts.
+
+    During a rolling update it would fail on a snapshot of another length.
+    """
+    log = _log_with_settings()
+    before = log.states[0].encode()
+    assert len(cbor2.loads(before)) == 8
+    assert not FleetState.decode(before).evacuated_zones
+    log.apply(EvacuateZone("az-a", "fire"))
+    loaded = FleetState.decode(log.states[0].encode())
+    assert loaded.evacuated_zones["az-a"].reason == "fire"
+    log.apply(RestoreZone("az-a"))
+    assert len(cbor2.loads(log.states[0].encode())) == 8
