Withhold the slots of an evacuated zone in its scheduler and the holders

Cause: an evacuation recorded in the log had no effect on permits.

Change: EvacuationGate (galenarill/scheduling/evacuation.py) tells the scheduler of a zone when its policy says that the zone is evacuated. It grants nothing then, and recalls every permit: when it notices the order, and again before the reply to each new session, so that a lost recall or a takeover leaves no permit in use. Its backend servers keep their leases and serve again on restoration.

That test now also records requests that start at once on an idle permit; before, it lost their attempts and checked nothing for them. The scheduler's scenario tests call allocate only when there is work, as the slot manager does.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -131,6 +131,9 @@
     def is_decommissioned(self, server):
         return False
 
+    def is_evacuated(self):
+        return False
+
 
 def _make_scheduler(servers: int, slots: int, pools: int = 1):
     now = 10.0
--- a/galenarill/entry/policy.py
+++ b/galenarill/entry/policy.py
@@ -52,3 +52,7 @@
     def is_decommissioned(self, server: VmId) -> bool:
         """Return whether the VM was removed from the settings."""
         return server not in self._get_state().vms
+
+    def is_evacuated(self) -> bool:
+        """Return whether the zone is evacuated."""
+        return self._az in self._get_state().evacuated_zones
--- a/galenarill/scheduling/__init__.py
+++ b/galenarill/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from galenarill.scheduling.admission import *  # noqa: F403
 from galenarill.scheduling.broken_requests import *  # noqa: F403
+from galenarill.scheduling.evacuation import *  # noqa: F403
 from galenarill.scheduling.lease import *  # noqa: F403
 from galenarill.scheduling.permits import *  # noqa: F403
 from galenarill.scheduling.policy import *  # noqa: F403
--- a/galenarill/scheduling/permits.py
+++ b/galenarill/scheduling/permits.py
@@ -155,6 +155,7 @@
             tuple[PoolId, TeamId], dict[PermitId, HeldPermitRecord]
         ] = collections.defaultdict(dict)
         self._sessions: dict[AvailabilityZoneId, _Session] = {}
+        self._evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
         self._changed_pairs: set[tuple[PoolId, TeamId]] = set()
         self._returned: dict[
             AvailabilityZoneId, list[messages.ReturnedPermit]
@@ -304,6 +305,7 @@
                 state=PermitState.IDLE,
                 contended=permit.contended,
                 quantum_deadline=now + QUANTUM_SECONDS,
+                recalled=message.availability_zone in self._evacuated_zones,
             )
             self._permits[permit.permit_id] = record
             self._reuse_or_return(record, now)
@@ -321,6 +323,24 @@
             if record.state is PermitState.IDLE:
                 self._reuse_or_return(record, now)
 
+    def set_evacuated_zones(self, zones: frozenset[AvailabilityZoneId]) -> None:
+        """Set the zones in which no request may start.
+
+        The permits of a newly evacuated zone are returned when they are idle.
+        The holder does not wait for the recall of the zone's scheduler, which
+        may learn of the evacuation later.
+        """
+        if zones == self._evacuated_zones:
+            return
+        self._evacuated_zones = zones
+        for record in list(self._permits.values()):
+            if record.availability_zone not in zones:
+                continue
+            record.recalled = True
+            if record.state is PermitState.IDLE:
+                self._return_permit(record, ())
+        self._changed_pairs.update(self._waiting)
+
     def next_register(
         self,
         availability_zone: AvailabilityZoneId,
@@ -465,9 +485,16 @@
     def _demand_lines(
         self, zone: AvailabilityZoneId, session: _Session, now: float
     ) -> Iterable[messages.DemandLine]:
+        # If this zone is evacuated, requests need not wait for its slots first.
+        has_spillover_delay = (
+            zone != self._availability_zone
+            and self._availability_zone not in self._evacuated_zones
+        )
         for pool, team in self._changed_pairs:
             queue = self._waiting.get((pool, team), {})
-            if zone != self._availability_zone and queue:
+            if zone in self._evacuated_zones:
+                queue = {}
+            elif queue and has_spillover_delay:
                 oldest = next(iter(queue.values()))
                 if oldest.spillover_deadline > now:
                     queue = {}
--- a/galenarill/scheduling/policy.py
+++ b/galenarill/scheduling/policy.py
@@ -25,3 +25,7 @@
     @abc.abstractmethod
     def is_decommissioned(self, server: VmId) -> bool:
         """Return whether the VM is known to be permanently stopped."""
+
+    @abc.abstractmethod
+    def is_evacuated(self) -> bool:
+        """Return whether no request may start in this zone."""
--- a/galenarill/scheduling/scheduler.py
+++ b/galenarill/scheduling/scheduler.py
@@ -14,6 +14,7 @@
     VmId,
 )
 from galenarill.scheduling import messages
+from galenarill.scheduling.evacuation import EvacuationGate
 from galenarill.scheduling.permits import (
     SESSION_MARGIN_SECONDS,
     SESSION_SECONDS,
@@ -139,6 +140,7 @@
         self._availability_zone = availability_zone
         self._epoch = epoch
         self._policy = policy
+        self._gate = EvacuationGate(availability_zone, epoch, policy)
         self._unregistered_holders = set(members)
         # Time at which all sessions with earlier schedulers have expired, so
         # that holders can start attempts only after registering here.
@@ -214,6 +216,10 @@
         dropped: tuple[PermitId, ...] = ()
         if message.epoch != self._epoch:
             dropped = self._open_session(holder, message, now)
+            if self._gate.is_closed:
+                # Precedes the reply, with which the holder may use permits
+                # that it got before the evacuation.
+                self._send(holder, self._gate.recall())
         elif known is None:
             # The session has expired: the holder has to open a new one, which
             # reports its permits.
@@ -307,7 +313,8 @@
         return self._report_reply(message, refusal, tuple(stop), now)
 
     def policy_changed(self, now: float) -> None:
-        """Apply changes of allotments, shares and pool membership."""
+        """Apply changes of allotments, shares, membership and evacuation."""
+        self._recall_if_evacuated()
         for team in [t for t, n in self._slots_in_use.items() if n]:
             if self._slots_in_use[team] > self._policy.allotment(team):
                 self._recall_permits(team=team, hard=True)
@@ -348,6 +355,9 @@
 
     def tick(self, now: float) -> None:
         """End expired sessions and leases, and discard old tombstones."""
+        # The state may have changed without a call of `policy_changed`, which
+        # isn't made while the lease is in doubt.
+        self._recall_if_evacuated()
         for vm, session in list(self._holders.items()):
             if session.session_deadline <= now:
                 self._end_session(vm, session, now)
@@ -366,6 +376,7 @@
 
     def allocate(self, now: float) -> None:
         """Grant the free slots of every pool that has changed."""
+        self._recall_if_evacuated()
         if not self.is_ready(now):
             return
         dirty, self._dirty_pools = self._dirty_pools, set()
@@ -762,6 +773,8 @@
     def _exclusion_reason(
         self, pool: _Pool, server: BackendServer, now: float
     ) -> str:
+        if self._gate.is_closed:
+            return "evacuated"
         if server.free <= 0:
             return "full"
         if server.is_leaving:
@@ -847,6 +860,11 @@
         for holder in holders:
             self._send(holder, recall)
 
+    def _recall_if_evacuated(self) -> None:
+        if self._gate.has_just_closed():
+            for holder in self._holders:
+                self._send(holder, self._gate.recall())
+
     def _record_outcomes(
         self,
         grant: _Grant,
--- a/galenarill/scheduling/tests/test_scheduler.py
+++ b/galenarill/scheduling/tests/test_scheduler.py
@@ -18,6 +18,7 @@
         self.limit = limit
         self.weights = {}
         self.gone = set()
+        self.evacuated = False
 
     def allotment(self, team):
         return self.limit
@@ -31,6 +32,9 @@
     def is_decommissioned(self, server):
         return server in self.gone
 
+    def is_evacuated(self):
+        return self.evacuated
+
 
 class Zone:
     """One scheduler and one holder that exchange messages directly."""
@@ -91,7 +95,8 @@
                     self.scheduler.demand("e1", message, self.now)
                 else:
                     self.scheduler.returned("e1", message, self.now)
-            self.scheduler.allocate(self.now)
+            if self.scheduler.has_work:
+                self.scheduler.allocate(self.now)
             for batch in self.scheduler.take_messages().values():
                 for message in batch:
                     self.to_holder(message)
--- a/galenarill/scheduling/tests/test_slots_machine.py
+++ b/galenarill/scheduling/tests/test_slots_machine.py
@@ -2,11 +2,14 @@
 
 The faults are crashes, lost messages, network partitions and scheduler
 takeovers. The modelled backend servers record which attempts run on them; none
-may run more than its slots, and no team more than its allotment.
+may run more than its slots, and no team more than its allotment. No attempt
+starts in an evacuated zone once the sessions of all holders that missed its
+recall have expired.
 """
 
 import collections
 import itertools
+import math
 import random
 
 from hypothesis import settings
@@ -36,6 +39,7 @@
     def __init__(self):
         self.allotments = {"red": 1, "blue": 2, "green": 4}
         self.refused = set()
+        self.evacuated = False
 
     def allotment(self, team):
         return self.allotments[team]
@@ -49,6 +53,9 @@
     def is_decommissioned(self, server):
         return False
 
+    def is_evacuated(self):
+        return self.evacuated
+
 
 class Server:
     """A modelled backend server that records its running attempts."""
@@ -73,6 +80,7 @@
         self.rng = random.Random(seed)
         self.now = 50.0
         self.policy = Policy()
+        self.evacuated_at = math.inf
         self.epochs = itertools.count(1)
         self.ids = itertools.count(1)
         self.holders = {vm: PermitHolder(ZONE) for vm in HOLDERS}
@@ -123,8 +131,7 @@
         vm = self.rng.choice(HOLDERS)
         team = self.rng.choice(TEAMS)
         if self.holders[vm].waiting < 4:
-            request = f"r{next(self.ids)}"
-            self.holders[vm].submit(request, POOL, team, self.now + 9, self.now)
+            self.submit_request(vm, team, 9.0)
         for attempt in list(self.attempts):
             if self.rng.random() < 0.05:
                 self.end(attempt)
@@ -177,10 +184,22 @@
 
     def collect_starts(self, vm, holder):
         for start in holder.take_starts():
-            steps = self.rng.randint(0, MAX_DELIVERY_STEPS)
-            self.in_flight.append((steps, vm, holder, start))
+            self.record_start(vm, holder, start)
         holder.take_expired()
 
+    def record_start(self, vm, holder, start):
+        assert self.now < self.evacuated_at + SESSION_SECONDS, "evacuated"
+        steps = self.rng.randint(0, MAX_DELIVERY_STEPS)
+        self.in_flight.append((steps, vm, holder, start))
+
+    def submit_request(self, vm, team, wait):
+        holder = self.holders[vm]
+        start = holder.submit(
+            f"r{next(self.ids)}", POOL, team, self.now + wait, self.now
+        )
+        if start is not None:
+            self.record_start(vm, holder, start)
+
     def deliver_starts(self):
         in_flight, self.in_flight = self.in_flight, []
         for steps, vm, holder, start in in_flight:
@@ -243,9 +262,7 @@
     )
     def submit(self, vm, team, count, wait):
         for _ in range(count):
-            request = f"r{next(self.ids)}"
-            deadline = self.now + wait
-            self.holders[vm].submit(request, POOL, team, deadline, self.now)
+            self.submit_request(vm, team, wait)
 
     @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 3.0]))
     def wait(self, seconds):
@@ -326,10 +343,7 @@
 
     def submit_many(self, vm, count):
         for _ in range(count):
-            request = f"r{next(self.ids)}"
-            self.holders[vm].submit(
-                request, POOL, "green", self.now + 20.0, self.now
-            )
+            self.submit_request(vm, "green", 20.0)
 
     @rule(vm=st.sampled_from(SERVERS))
     def restart_server(self, vm):
@@ -360,6 +374,12 @@
         self.policy.refused ^= {vm}
         self.scheduler.policy_changed(self.now)
 
+    @rule()
+    def toggle_evacuation(self):
+        self.policy.evacuated = not self.policy.evacuated
+        self.evacuated_at = self.now if self.policy.evacuated else math.inf
+        self.scheduler.policy_changed(self.now)
+
     def teardown(self):
         """Check that every slot can be used again after the faults."""
         if not getattr(self, "scheduler", None):
@@ -367,6 +387,8 @@
         self.generates_load = False
         self.partitioned.clear()
         self.policy.refused.clear()
+        if self.policy.evacuated:
+            self.toggle_evacuation()
         for attempt in list(self.attempts):
             self.end(attempt)
         self.advance(SESSION_SECONDS + 4.0)
