Evacuate and restore zones through the administration interface

Cause: operators had no interface to the orders, and no way to know when an order is in force.

Change: POST /v1/admin/zones/{zone}/evacuation and .../restoration, the orders in the status, log lines "zone evacuated" and "zone restored", and the gauge galenarill_evacuated_zones. EvacuationMonitor enforces the applied state on the entry VM and broadcasts its version. The answer to an evacuation waits until every entry VM has told a version that includes the order, at most as long as a session with a scheduler lasts, and names those that have not. The scheduler of an evacuated zone gives up all its spare allotment on request, not half.

--- a/galenarill/entry/admin.py
+++ b/galenarill/entry/admin.py
@@ -8,8 +8,15 @@
 import msgspec
 from aiohttp import web
 
-from galenarill.common import ChangeId, KeyId, OperatorId
+from galenarill.common import (
+    AvailabilityZoneId,
+    ChangeId,
+    KeyId,
+    OperatorId,
+    VmId,
+)
 from galenarill.entry.control import ControlPlane
+from galenarill.entry.evacuation import EvacuationMonitor
 from galenarill.entry.keyring import KeyRing
 from galenarill.entry.operators import Operators, Role
 from galenarill.entry.problems import RunState, problem_response
@@ -18,10 +25,12 @@
 from galenarill.state import (
     Edit,
     EditSettings,
+    EvacuateZone,
     GiveKey,
     MoveVm,
     Outcome,
     OutcomeCode,
+    RestoreZone,
     StartDrain,
     WithdrawKey,
 )
@@ -79,6 +88,7 @@
         control: ControlPlane,
         keys: KeyRing,
         operators: Operators,
+        evacuations: EvacuationMonitor,
         get_status,
     ):
         """Make the interface of one entry VM.
@@ -87,11 +97,13 @@
             control: Control plane of this VM.
             keys: Key ring of this VM.
             operators: Operators and their roles.
+            evacuations: Evacuations as the entry VMs enforce them.
             get_status: Returns the status of this VM as a dict.
         """
         self._control = control
         self._keys = keys
         self._operators = operators
+        self._evacuations = evacuations
         self._get_status = get_status
 
     def add_routes(self, app: web.Application) -> None:
@@ -106,6 +118,9 @@
         router.add_post("/v1/admin/keys/{key}/withdrawal", self._withdraw_key)
         router.add_post("/v1/admin/vms/{vm}/drain", self._drain)
         router.add_post("/v1/admin/vms/{vm}/move", self._move)
+        zone_path = "/v1/admin/zones/{zone}"
+        router.add_post(f"{zone_path}/evacuation", self._evacuate_zone)
+        router.add_post(f"{zone_path}/restoration", self._restore_zone)
 
     @_requires_role(Role.READ)
     async def _status(
@@ -121,6 +136,10 @@
                     name: self._describe_team(name)
                     for name in sorted(state.limits)
                 },
+                "evacuated_zones": {
+                    zone: msgspec.structs.asdict(order)
+                    for zone, order in state.evacuated_zones.items()
+                },
             }
         )
 
@@ -245,21 +264,45 @@
         )
         return await self._propose(request, operator, command)
 
+    @_requires_role(Role.OPERATE)
+    async def _evacuate_zone(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        body = await _read_json(request)
+        zone = AvailabilityZoneId(request.match_info["zone"])
+        command = EvacuateZone(zone, str(body.get("reason", "operator")))
+        outcome = await self._submit(request, operator, command)
+        unconfirmed: list[VmId] = []
+        if outcome.is_accepted:
+            unconfirmed = await self._evacuations.wait_confirmed(zone)
+        return _outcome_response(outcome, unconfirmed=unconfirmed)
+
+    @_requires_role(Role.OPERATE)
+    async def _restore_zone(
+        self, request: web.Request, operator: OperatorId
+    ) -> web.Response:
+        zone = AvailabilityZoneId(request.match_info["zone"])
+        return await self._propose(request, operator, RestoreZone(zone))
+
     async def _propose(
         self, request: web.Request, operator: OperatorId, command
     ) -> web.Response:
+        return _outcome_response(await self._submit(request, operator, command))
+
+    async def _submit(
+        self, request: web.Request, operator: OperatorId, command
+    ) -> Outcome:
         change_id = request.headers.get("Galenarill-Change-Id")
         based_on = request.headers.get("If-Match", "-1").strip('"')
-        outcome = await self._control.propose(
+        return await self._control.propose(
             command,
             operator,
             ChangeId(change_id or secrets.token_hex(12)),
             int(based_on),
         )
-        return _outcome_response(outcome)
 
 
-def _outcome_response(outcome: Outcome) -> web.Response:
+def _outcome_response(outcome: Outcome, **details) -> web.Response:
     body = {
         "outcome": outcome.code.value,
         "version": outcome.version,
@@ -267,6 +310,7 @@
         "faults": [
             {"path": path, "text": text} for path, text in outcome.faults
         ],
+        **details,
     }
     return _json_response(body, OUTCOME_STATUS[outcome.code])
 
--- a/galenarill/entry/node.py
+++ b/galenarill/entry/node.py
@@ -18,6 +18,7 @@
 from galenarill.entry.claims import ClaimManager
 from galenarill.entry.connections import PermitConnections
 from galenarill.entry.control import open_control_plane
+from galenarill.entry.evacuation import EvacuationMonitor
 from galenarill.entry.executor import RequestExecutor
 from galenarill.entry.keyring import KeyRing
 from galenarill.entry.operators import load_operators
@@ -110,6 +111,12 @@
             self._version_if_current,
             self._connections.close,
         )
+        self._evacuations = EvacuationMonitor(
+            settings.zones.keys() - {settings.vm},
+            lambda: self._control.state,
+            self._slots,
+            self._broadcast_heartbeat,
+        )
         self._claims = ClaimManager(settings, self._mesh.send)
         self._broken = BrokenRequests()
         self._callers = CallerInterface(
@@ -125,6 +132,8 @@
             self._vm, az, self._control, self._slots, self._mesh.send
         )
         self._message_handlers = self._make_message_handlers()
+        # The state restored from the disk may contain evacuations.
+        self._evacuations.state_changed()
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then shut down gracefully."""
@@ -201,7 +210,11 @@
         ).add_routes(app)
         operators = load_operators(pathlib.Path(settings.operators_file))
         AdminInterface(
-            self._control, self._keys, operators, self._status
+            self._control,
+            self._keys,
+            operators,
+            self._evacuations,
+            self._status,
         ).add_routes(app)
         ObservableGauges(self._gauges()).add_routes(app)
         app.router.add_get("/livez", self._livez)
@@ -251,16 +264,20 @@
             # The peer may have restarted, or been cut off.
             broken = self._broken.latest(self._loop.time())
             self._send_heartbeat(peer, broken)
+        else:
+            self._evacuations.forget_version(peer)
 
     def _receive_membership(self, peer: VmId, message) -> None:
         if isinstance(message, membership_messages.Heartbeat):
             self._slots.set_peer_epoch(peer, message.epoch)
+            self._evacuations.record_version(peer, message.version)
             for request, attempt in message.broken:
                 self._broken.record(request, attempt, self._loop.time())
         self._keys.receive(peer, message)
 
     def _on_applied(self) -> None:
         self._keys.state_changed()
+        self._evacuations.state_changed()
         self._slots.policy_changed()
 
     def _version_if_current(self) -> int:
@@ -336,6 +353,7 @@
             "permits": lambda: len(holder.permits),
             "claims": lambda: len(self._claims.table),
             "version": lambda: self._control.state.version,
+            "evacuated_zones": lambda: len(self._control.state.evacuated_zones),
             "links": lambda: len(self._mesh.connected_peers),
             "link_sent_bytes": lambda: counters.sent_bytes,
             "link_received_bytes": lambda: counters.received_bytes,
--- a/galenarill/entry/reconciler.py
+++ b/galenarill/entry/reconciler.py
@@ -84,9 +84,11 @@
         if scheduler is None or not self._control.is_caught_up:
             return
         spare = scheduler.spare_allotment(message.team)
-        # The other half is kept for requests that arrive in this zone before
-        # the change is applied.
-        count = min(message.count, (spare + 1) // 2)
+        if self._az not in self._control.state.evacuated_zones:
+            # The other half is kept for requests that arrive in this zone
+            # before the change is applied.
+            spare = (spare + 1) // 2
+        count = min(message.count, spare)
         if count:
             command = GiveAllotment(self._az, message.team, count)
             version = self._control.state.version
--- a/galenarill/entry/slots.py
+++ b/galenarill/entry/slots.py
@@ -290,6 +290,11 @@
             self._scheduler.policy_changed(now)
         self._schedule_pump()
 
+    def set_evacuated_zones(self, zones: frozenset[AvailabilityZoneId]) -> None:
+        """Start no request of this VM in `zones`."""
+        self._holder.set_evacuated_zones(zones)
+        self._schedule_pump()
+
     def leave(self) -> None:
         """Stop the scheduler, and neither renew nor seek the zone's lease."""
         self._is_leaving = True
