--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -12,6 +12,7 @@
 from galenarill.cli.fleet import status, vm_app
 from galenarill.cli.keys import key_app, operator_app
 from galenarill.cli.trace import trace
+from galenarill.cli.zones import zone_app
 from galenarill.errors import (
     GalenarillError,
     SettingsErrorGroup,
@@ -34,6 +35,7 @@
 app.command(key_app)
 app.command(operator_app)
 app.command(vm_app)
+app.command(zone_app)
 app.command(check)
 app.command(status)
 app.command(trace)
