--- a/galenarill/entry/tests/test_evacuation.py
+++ b/galenarill/entry/tests/test_evacuation.py
@@ -1,11 +1,16 @@
 """Tests of the confirmation of evacuations by the entry VMs."""
 
 import asyncio
+import types
+
+import pytest
 
 from galenarill.entry.evacuation import (
     CONFIRMATION_TIMEOUT_SECONDS,
     EvacuationMonitor,
 )
+from galenarill.entry.reconciler import ZoneReconciler
+from galenarill.scheduling.messages import AllotmentRequest
 from galenarill.state import FleetState, ZoneEvacuation
 from standins.virtual_time import run_in_virtual_time
 
@@ -75,3 +80,29 @@
         assert await fleet.monitor.wait_confirmed("az-a") == ["e2", "e3"]
 
     run_in_virtual_time(scenario)
+
+
+@pytest.mark.parametrize("is_evacuated, given", [(False, 3), (True, 5)])
+def test_evacuated_zone_gives_up_all_that_it_does_not_use(is_evacuated, given):
+    """Allotment that stays in the zone rejects requests in the others."""
+
+    async def scenario():
+        fleet = _Fleet()
+        if is_evacuated:
+            fleet.evacuate(7)
+        commands = []
+
+        async def propose(command, operator, change_id):
+            commands.append(command)
+
+        control = types.SimpleNamespace(
+            state=fleet.state, is_caught_up=True, propose=propose
+        )
+        scheduler = types.SimpleNamespace(spare_allotment=lambda team: 5)
+        slots = types.SimpleNamespace(scheduler=scheduler)
+        reconciler = ZoneReconciler("e1", "az-a", control, slots, None)
+        reconciler.receive("e2", AllotmentRequest("az-b", "red", 8))
+        await asyncio.sleep(0.01)
+        assert [command.count for command in commands] == [given]
+
+    run_in_virtual_time(scenario)
--- a/galenarill/scheduling/scheduler.py
+++ b/galenarill/scheduling/scheduler.py
@@ -333,6 +333,8 @@
         Only teams that have reached their allotment and could use free slots
         are included.
         """
+        if self._gate.is_closed:
+            return {}
         demand: collections.Counter[TeamId] = collections.Counter()
         for pool in self._pools.values():
             free = sum(
@@ -751,6 +753,8 @@
             The backend server, or None if none is eligible, and the reason for
             the choice.
         """
+        if self._gate.is_closed:
+            return None, ""
         best = None
         excluded = collections.Counter()
         for server in pool.servers.values():
@@ -773,8 +777,6 @@
     def _exclusion_reason(
         self, pool: _Pool, server: BackendServer, now: float
     ) -> str:
-        if self._gate.is_closed:
-            return "evacuated"
         if server.free <= 0:
             return "full"
         if server.is_leaving:
