--- a/galenarill/coordinator/tests/test_evacuation.py
+++ b/galenarill/coordinator/tests/test_evacuation.py
@@ -38,7 +38,7 @@
         simulation.sent.append(sent)
         if worker.zone in simulation.evacuated:
             simulation.violations.append((simulation.loop.time(), *sent))
-        return await send(worker, order)
+        return await send(worker, order, timeout_seconds)
 
     simulation.network.start = start
 
