Reject jobs at submission that certainly come too late

Cause: under an overload that lasts, a job is accepted that cannot be done while its result is useful, and its caller learns of it only by waiting.

Change: the package admission computes from the waiting tasks, the shortest durations and all known capacity whether a new job can be useful within useful_lateness times its objective, and spreads the times at which rejected callers return. The leader decides before the proposal; the gateway answers 429 with Retry-After. Off by default.

Tested: the existing tests of the leader, the cluster and the layout.

--- a/galenarill/cluster/messages.py
+++ b/galenarill/cluster/messages.py
@@ -146,6 +146,8 @@
     INVALID = "invalid"
     # Another queue or tenant has a job with this id.
     ID_IN_USE = "id in use"
+    # The job certainly comes too late to be useful.
+    TOO_LATE = "too late"
 
 
 # Codes that say that a request was not carried out.
@@ -156,6 +158,7 @@
         Code.UNKNOWN_KEY,
         Code.INVALID,
         Code.ID_IN_USE,
+        Code.TOO_LATE,
     }
 )
 
@@ -201,7 +204,8 @@
         call: Number of the call.
         code: Outcome.
         text: Status of a job or wave, or the reason for a refusal.
-        number: Count or version.
+        number: Count or version, or the seconds after which a job that is
+            rejected as too late is to be submitted again.
         document: Requested document.
     """
 
--- /dev/null
+++ b/galenarill/coordinator/admitting.py
@@ -0,0 +1,281 @@
+"""Decides at the leader which submitted jobs are accepted."""
+
+import abc
+import collections
+import logging
+from typing import Protocol
+
+from galenarill.admission import (
+    Admission,
+    DurationBounds,
+    PoolBacklog,
+    RetrySchedule,
+    Submission,
+    WaitingTasks,
+    decide_admission,
+    estimate_bounds,
+    surely_precedes_smaller_needs,
+)
+from galenarill.common import (
+    JobId,
+    MachineId,
+    PoolId,
+    TeamId,
+    monotonic_now,
+    wall_now,
+)
+from galenarill.coordinator.placing import Placer
+from galenarill.coordinator.term import TermContext
+from galenarill.jobs import JobSpec
+from galenarill.placement import Quota, TaskGroup, TenantUsage
+from galenarill.pools import Machine
+from galenarill.routing import Queue, Resources
+from galenarill.telemetry import meter
+from galenarill.workers import WorkerRegistry
+
+__all__ = ["AdmissionPolicy", "JobAdmitter", "MachineList"]
+
+logger = logging.getLogger(__name__)
+
+_REJECTED = meter().create_counter("galenarill_jobs_rejected")
+
+# Time at the beginning of a term in which no job is rejected, in seconds. The
+# workers' lists and the runs of the last term are known after it.
+SETTLING_SECONDS = 3.0
+# Shortest time between two readings of what waits, in seconds, and the time
+# for each group of tasks and each worker. A reading costs about 5 us for each
+# of them, so that all readings together stay below a twentieth of the thread.
+READING_SECONDS = 0.1
+READING_SECONDS_PER_ENTRY = 0.0001
+# Time for which the largest capacity is kept, in seconds. A worker that
+# restarts or is moved is back long before.
+CAPACITY_SECONDS = 30.0
+
+
+class AdmissionPolicy(abc.ABC):
+    """Decides which new jobs are accepted."""
+
+    @abc.abstractmethod
+    def decide_admission(
+        self, job_id: JobId, spec: JobSpec, queue: Queue, tenant: TeamId
+    ) -> Admission:
+        """Decide whether a job that is not known yet is accepted.
+
+        Args:
+            job_id: Id of the job.
+            spec: Specification.
+            queue: Queue.
+            tenant: Tenant, or "".
+        """
+
+
+class MachineList(Protocol):
+    """Machines of the platform, also those that are switched off."""
+
+    machines: dict[MachineId, Machine]
+
+
+class JobAdmitter(AdmissionPolicy):
+    """Decides from the tasks that the placer of one term knows.
+
+    What waits is read at most each `READING_SECONDS`, and only when a job is
+    submitted; a decision costs by the number of different needs of a tenant's
+    waiting tasks, not by their number.
+    """
+
+    def __init__(
+        self,
+        context: TermContext,
+        placer: Placer,
+        registry: WorkerRegistry,
+        useful_lateness: float,
+        bounds: DurationBounds = estimate_bounds,
+    ):
+        """Create an admitter for the term of `context`.
+
+        Args:
+            context: State of the term.
+            placer: Knows the waiting tasks.
+            registry: Registry of worker reports.
+            useful_lateness: Multiple of its objective for which a job is
+                useful, or 0 to reject none.
+            bounds: Returns bounds of the duration of a step's tasks.
+        """
+        self._context = context
+        self._placer = placer
+        self._registry = registry
+        self._useful_lateness = useful_lateness
+        self._bounds = bounds
+        self._schedule = RetrySchedule()
+        self._machines: MachineList | None = None
+        self._read_again_at = float("-inf")
+        self._backlogs: dict[PoolId, PoolBacklog] = {}
+        self._usage = TenantUsage({}, {}, Resources())
+        self._quotas: dict[TeamId, Quota] = {}
+        self._unlimited_tenants: frozenset[TeamId] = frozenset()
+        # Capacities of all workers, with the time of each reading.
+        self._capacities: collections.deque[tuple[float, Resources]] = (
+            collections.deque()
+        )
+
+    def count_machines(self, machines: MachineList) -> None:
+        """Count listed machines toward the capacity that could join a pool."""
+        self._machines = machines
+
+    def decide_admission(
+        self, job_id: JobId, spec: JobSpec, queue: Queue, tenant: TeamId
+    ) -> Admission:
+        """Decide on a new job; see `AdmissionPolicy`."""
+        now = monotonic_now()
+        if (
+            not self._useful_lateness
+            or now < self._context.began_at + SETTLING_SECONDS
+            or not self._context.has_leader_lease()
+        ):
+            return Admission()
+        if now >= self._read_again_at:
+            self._read(now)
+        backlog = self._backlogs.get(queue.pool)
+        if backlog is None:
+            self._schedule.forget(job_id)
+            return Admission()
+        quota = self._quotas.get(tenant)
+        admission = decide_admission(
+            Submission(
+                job_id,
+                spec,
+                queue,
+                tenant,
+                wall_now(),
+                quota.limit if quota is not None else Resources(),
+                self._unlimited_tenants,
+                self._usage.weighted_share(tenant),
+            ),
+            backlog,
+            self._schedule,
+            self._bounds,
+            self._useful_lateness,
+            now,
+        )
+        if not admission.is_accepted:
+            self._note_rejection(job_id, queue, tenant, backlog, admission)
+        return admission
+
+    def _note_rejection(
+        self,
+        job_id: JobId,
+        queue: Queue,
+        tenant: TeamId,
+        backlog: PoolBacklog,
+        admission: Admission,
+    ) -> None:
+        _REJECTED.add(
+            1, {"bound": "tenant" if admission.is_tenant_bound else "pool"}
+        )
+        logger.info(
+            "job rejected",
+            extra={
+                "job": job_id,
+                "queue": queue.name,
+                "pool": queue.pool,
+                "tenant": tenant,
+                "is_tenant_bound": admission.is_tenant_bound,
+                "core_seconds_ahead": round(admission.cpu_seconds_ahead, 1),
+                "capacity_cpu": admission.capacity.cpu,
+                "pool_cpu": backlog.capacity.cpu,
+                "wait_seconds": round(admission.wait_seconds, 3),
+                "objective_seconds": round(admission.objective_seconds, 3),
+                "retry_after": admission.retry_after_seconds,
+            },
+        )
+
+    def _read(self, now: float) -> None:
+        """Read what waits, and the capacities."""
+        groups = list(self._placer.waiting_groups)
+        entries = len(groups) + len(self._registry.workers)
+        period = max(READING_SECONDS, entries * READING_SECONDS_PER_ENTRY)
+        self._read_again_at = now + period
+        self._usage, self._quotas = self._placer.tenant_usage()
+        self._unlimited_tenants = frozenset(
+            tenant
+            for tenant, quota in self._quotas.items()
+            if quota.limit == Resources()
+        ) | {TeamId("")}
+        max_capacity = self._max_capacity(now)
+        capacities: dict[PoolId, Resources] = {}
+        for session in self._context.sessions.values():
+            report = session.report
+            total = capacities.get(report.pool, Resources())
+            capacities[report.pool] = total.plus(report.capacity)
+        self._backlogs = {}
+        # A job that turns late before the next reading drops behind jobs that
+        # are in time, so it is not counted ahead of them.
+        late_at = wall_now() + period
+        for group in groups:
+            if not self._is_counted(group):
+                continue
+            if group.pool not in self._backlogs:
+                self._backlogs[group.pool] = PoolBacklog(
+                    group.pool,
+                    capacities.get(group.pool, Resources()),
+                    max_capacity,
+                    now,
+                )
+            self._backlogs[group.pool].add(
+                WaitingTasks(
+                    group.tenant,
+                    group.priority,
+                    group.step.need,
+                    group.step.label,
+                    len(group.keys),
+                    self._bounds(group.step)[0],
+                    group.objective_at,
+                    group.is_late(late_at),
+                )
+            )
+
+    def _is_counted(self, group: TaskGroup) -> bool:
+        """Return whether tasks certainly take their time and can't be passed.
+
+        Those that need a trial or advice may have to wait for it, and those
+        with a checkpoint may have little left to do.
+        """
+        job = self._context.state.jobs.get(group.job)
+        return (
+            job is not None
+            and not group.is_trial
+            and surely_precedes_smaller_needs(group.step)
+            and not (group.step.is_checkpointing and job.has_started)
+            and job.queue_settings.advice is None
+        )
+
+    def _max_capacity(self, now: float) -> Resources:
+        """Return the largest capacity of late that could join one pool."""
+        workers = _total(
+            known.report.capacity for known in self._registry.workers.values()
+        )
+        machines = self._machines.machines.values() if self._machines else ()
+        listed = _total(machine.capacity for machine in machines)
+        self._capacities.append((now, _larger(workers, listed)))
+        while self._capacities[0][0] < now - CAPACITY_SECONDS:
+            self._capacities.popleft()
+        largest = Resources()
+        for _, capacity in self._capacities:
+            largest = _larger(largest, capacity)
+        return largest
+
+
+def _total(capacities) -> Resources:
+    total = Resources()
+    for capacity in capacities:
+        total = total.plus(capacity)
+    return total
+
+
+def _larger(one: Resources, other: Resources) -> Resources:
+    """Return the larger amount of each resource."""
+    return Resources(
+        max(one.cpu, other.cpu),
+        max(one.mem_mb, other.mem_mb),
+        max(one.gpu, other.gpu),
+    )
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -5,14 +5,21 @@
 import math
 from collections.abc import Callable
 
+from galenarill.admission import Admission
 from galenarill.common import (
     JobId,
     MachineId,
     PoolId,
+    TeamId,
     WorkerId,
     monotonic_now,
     wall_now,
 )
+from galenarill.coordinator.admitting import (
+    AdmissionPolicy,
+    JobAdmitter,
+    MachineList,
+)
 from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.crashes import CrashMonitor
@@ -30,6 +37,7 @@
     ForgetJobs,
     Incarnation,
     Job,
+    JobSpec,
     JobStatus,
     Step,
 )
@@ -42,7 +50,7 @@
     PoolLoad,
     Work,
 )
-from galenarill.routing import Resources
+from galenarill.routing import Queue, Resources
 from galenarill.telemetry import meter
 from galenarill.workers import (
     AdviceClient,
@@ -72,7 +80,7 @@
 MACHINE_ARRIVAL_SECONDS = 2.0
 
 
-class Leader:
+class Leader(AdmissionPolicy):
     """Schedules while this coordinator leads the log.
 
     Orders are sent only while leadership is confirmed, and carry the term as
@@ -91,6 +99,7 @@
         retention_seconds: float,
         max_lease_seconds: float,
         advice_client: AdviceClient | None = None,
+        useful_lateness: float = 0.0,
     ):
         """Create the scheduler of a term; `start` starts it.
 
@@ -104,6 +113,8 @@
             retention_seconds: How long the status of ended jobs is kept.
             max_lease_seconds: Longest lease that a worker accepts.
             advice_client: Client of the policy service, or None.
+            useful_lateness: Multiple of its objective for which a job is
+                useful, or 0 to reject none.
         """
         self._state = state
         # Jobs that are not done, failed or cancelled.
@@ -150,6 +161,9 @@
             self._advisor,
             self._disruptions,
         )
+        self._admitter = JobAdmitter(
+            self._context, self._placer, registry, useful_lateness
+        )
 
     def start(self) -> None:
         """Adopt the runs in the replicated state and start scheduling."""
@@ -229,6 +243,16 @@
         if changed_jobs:
             self._context.wake.set()
 
+    def decide_admission(
+        self, job_id: JobId, spec: JobSpec, queue: Queue, tenant: TeamId
+    ) -> Admission:
+        """Decide on a new job; see `AdmissionPolicy`."""
+        return self._admitter.decide_admission(job_id, spec, queue, tenant)
+
+    def count_machines(self, machines: MachineList) -> None:
+        """Count listed machines toward the capacity that could join a pool."""
+        self._admitter.count_machines(machines)
+
     def _index_job(self, job_id: JobId, job: Job | None) -> None:
         if job is None or job.status is not JobStatus.ACTIVE:
             self._active_jobs.discard(job_id)
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -134,7 +134,10 @@
         self._proposals = Proposals(self._driver, self._replica)
         self._state_machine.proposals = self._proposals
         self._request_handler = RequestHandler(
-            self._state, self._proposals.propose, self._can_serve_reads
+            self._state,
+            self._proposals.propose,
+            self._can_serve_reads,
+            lambda: self._leader,
         )
         self._mesh = Mesh(
             self._vm,
@@ -400,6 +403,7 @@
             settings.keep_job_seconds,
             settings.max_worker_lease_ms / 1000,
             self._advice_client,
+            settings.useful_lateness,
         )
         self._leader.start()
         if self._machine_client is not None:
@@ -413,6 +417,7 @@
                 settings.machine_lease_ms / 1000,
             )
             self._leader.disruptions.watch(fleet)
+            self._leader.count_machines(fleet)
             rebalancer = PoolRebalancer(self._leader, self._state, fleet)
             wave_runner = WaveRunner(
                 self._leader, self._state, fleet, self._proposals.propose
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -6,6 +6,7 @@
 import functools
 import itertools
 import logging
+from collections.abc import Iterator
 
 from galenarill.common import (
     JobId,
@@ -167,6 +168,18 @@
         """Return whether a start is being proposed for a worker."""
         return self._proposed_by_worker[worker] > 0
 
+    @property
+    def waiting_groups(self) -> Iterator[TaskGroup]:
+        """Groups of ready tasks without a proposed start."""
+        for groups in self._groups.values():
+            for group in groups:
+                if group.keys:
+                    yield group
+
+    def tenant_usage(self) -> tuple[TenantUsage, dict[TeamId, Quota]]:
+        """Return the usage of tenants, and their quotas."""
+        return self._tenant_usage(self._uncommitted_starts())
+
     def refresh_ready_tasks(self, job_id: JobId) -> None:
         """Recompute which tasks of a job are ready to start."""
         job = self._context.state.jobs.get(job_id)
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -7,6 +7,7 @@
 from galenarill.cluster import messages as msg
 from galenarill.cluster.messages import Code, Reply
 from galenarill.common import JobId, TeamId, monotonic_now, wall_now
+from galenarill.coordinator.admitting import AdmissionPolicy
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
     AcceptJob,
@@ -45,6 +46,7 @@
         state: ClusterState,
         propose: Callable,
         can_serve_reads: Callable[[], bool],
+        admission_policy: Callable[[], AdmissionPolicy | None] = lambda: None,
     ):
         """Create a handler that reads `state`.
 
@@ -53,10 +55,13 @@
             propose: Proposes commands, and returns a future of their commit.
             can_serve_reads: Returns whether this replica leads and `state` is
                 up to date.
+            admission_policy: Returns what decides on new jobs, or None if this
+                coordinator doesn't lead, so that it rejects none.
         """
         self._state = state
         self._propose = propose
         self._can_serve_reads = can_serve_reads
+        self._admission_policy = admission_policy
         # Path of the queue, and tenant, of the jobs that are being accepted.
         self._accepting: dict[JobId, tuple[tuple[str, str], TeamId]] = {}
         self._counted_at = float("-inf")
@@ -104,9 +109,28 @@
             logger.info("job id in use", extra={"job": request.job})
             return Reply(call, Code.ID_IN_USE)
         if request.job not in self._state.jobs:
+            retry_after = self._retry_after_seconds(request, queue, tenant)
+            if retry_after is not None:
+                return Reply(call, Code.TOO_LATE, number=retry_after)
             await self._accept(request, queue, tenant)
         return Reply(call, Code.DONE)
 
+    def _retry_after_seconds(
+        self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
+    ) -> int | None:
+        """Return after how long to submit a job again, or None to accept it.
+
+        A job that is being accepted is never rejected: its first attempt may
+        be committed.
+        """
+        policy = self._admission_policy()
+        if policy is None or request.job in self._accepting:
+            return None
+        admission = policy.decide_admission(
+            request.job, request.spec, queue, tenant
+        )
+        return admission.retry_after_seconds
+
     async def _accept(
         self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
     ) -> None:
--- a/galenarill/platform/front.py
+++ b/galenarill/platform/front.py
@@ -31,6 +31,7 @@
     Code.UNKNOWN: 410,
     Code.INVALID: 400,
     Code.ID_IN_USE: 409,
+    Code.TOO_LATE: 429,
 }
 
 
@@ -97,6 +98,8 @@
         if reply.code is not Code.DONE:
             status = _STATUSES[reply.code]
             headers = RETRY_AFTER_HEADERS if status == 503 else None
+            if reply.code is Code.TOO_LATE:
+                headers = {"Retry-After": str(reply.number)}
             return json_response({"error": reply.code.value}, status, headers)
         if isinstance(leader_request, AskQueue):
             return json_response({"waiting": reply.number})
--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -35,6 +35,9 @@
             exclusive right to send orders to a machine.
         max_worker_lease_ms: Longest lease that a worker accepts; a longer one
             is cut to it.
+        useful_lateness: Multiple of its objective for which a job's result is
+            useful. A job that certainly comes later is rejected; 0 rejects
+            none.
     """
 
     vm: str
@@ -56,6 +59,7 @@
     grace_seconds: float = 6.0
     machine_lease_ms: float = 3000.0
     max_worker_lease_ms: float = 10_000.0
+    useful_lateness: float = 0.0
 
     @property
     def link_address(self) -> VmId:
@@ -101,6 +105,8 @@
             faults.append((key, f"must be a port, not {value}"))
     if settings.replaceable_voters < 0:
         faults.append(("replaceable_voters", "must not be negative"))
+    if settings.useful_lateness != 0 and not settings.useful_lateness >= 1:
+        faults.append(("useful_lateness", "must be 0, or at least 1"))
     return faults
 
 
