Test that an unconfirmed leader rejects nothing with a job it would reject

Cause: the test passed without the check of the leadership, since the job was accepted anyway.

Change: the same job is rejected first, while the leadership is confirmed.

Tested: the test fails without the check, and passes with it.

--- a/galenarill/coordinator/tests/test_admission.py
+++ b/galenarill/coordinator/tests/test_admission.py
@@ -147,12 +147,14 @@
 
 def test_a_leader_whose_leadership_is_not_confirmed_rejects_nothing(load):
     """Guards against decisions from the state of a paused leader."""
-    load.play(load.send(4, 20))
-    load.simulation.term += 1
-    decide = load.simulation.leader.decide_admission
-    queue = load.simulation.state.routing.queue("q")
-    admission = load.simulation.call(decide, "new", SPEC, queue, "t")
-    assert admission.is_accepted
+    simulation = load.simulation
+    for n in range(40):
+        simulation.submit(f"j{n}", 8, "t", estimate_ms=1000)
+    decide = simulation.leader.decide_admission
+    arguments = "new", SPEC, simulation.state.routing.queue("q"), "t"
+    assert not simulation.call(decide, *arguments).is_accepted
+    simulation.term += 1
+    assert simulation.call(decide, *arguments).is_accepted
 
 
 def test_a_job_that_is_being_accepted_is_not_rejected(load):
