Stop no run whose capacity a later stop releases as well

Cause: choose_victims chose the runs to stop for each waiting task apart. With needs 1 and 1, and runs of 1 and 2 cores on one full worker, it stopped the first run for the first task and the second run for the second task, 3 cores for 2, although the second run alone would do.

Change: after all choices, victims whose capacity is not needed for the tasks that get room on their worker go on, the most urgent first. One function does this for a single task and for all.

Tested: the input is an example of the test, which fails without the change.

--- a/galenarill/placement/preemption.py
+++ b/galenarill/placement/preemption.py
@@ -80,6 +80,7 @@
         for available_worker in members
     }
     victims: list[ActiveRun] = []
+    victims_by_worker: dict[WorkerId, list[ActiveRun]] = {}
     helped: list[Candidate] = []
     for candidate, priority in waiting:
         need = candidate.step.reserved
@@ -114,6 +115,7 @@
             continue
         _, worker, chosen = min(choices, key=lambda choice: choice[:2])
         victims += chosen
+        victims_by_worker.setdefault(worker, []).extend(chosen)
         helped.append(candidate)
         for active_run in chosen:
             free[worker] = free[worker].plus(active_run.reserved)
@@ -121,7 +123,15 @@
         candidate.siblings[worker] = candidate.siblings.get(worker, 0) + 1
         if quota is not None:
             quota.used = quota.used.plus(candidate.step.need)
-    return Preemption(victims, helped)
+    # Victims chosen for one task may release enough for another one as well.
+    unnecessary = [
+        active_run
+        for worker, chosen in victims_by_worker.items()
+        for active_run in _unnecessary_victims(chosen, free[worker])
+    ]
+    return Preemption(
+        [victim for victim in victims if victim not in unnecessary], helped
+    )
 
 
 def _releasing_capacity(
@@ -145,19 +155,34 @@
     that turns out to be unnecessary beside later choices goes on.
     """
     chosen: list[ActiveRun] = []
-    active_runs = sorted(
-        active_runs, key=lambda o: (-o.priority, o.lost_seconds)
-    )
-    for active_run in active_runs:
+    for active_run in sorted(active_runs, key=_preemption_order):
         if need.fits(free):
             break
         chosen.append(active_run)
         free = free.plus(active_run.reserved)
     if not need.fits(free):
         return None
-    for active_run in chosen[::-1]:
-        without = free.minus(active_run.reserved)
-        if need.fits(without):
-            chosen.remove(active_run)
-            free = without
-    return chosen
+    unnecessary = _unnecessary_victims(chosen, free.minus(need))
+    return [o for o in chosen if o not in unnecessary]
+
+
+def _unnecessary_victims(
+    victims: list[ActiveRun], spare: Resources
+) -> list[ActiveRun]:
+    """Return the victims whose capacity is not needed, the most urgent first.
+
+    Args:
+        victims: Runs to be stopped on one worker.
+        spare: Capacity that is left once they have ended and the tasks that
+            they are stopped for have started.
+    """
+    unnecessary = []
+    for victim in sorted(victims, key=_preemption_order)[::-1]:
+        if victim.reserved.fits(spare):
+            unnecessary.append(victim)
+            spare = spare.minus(victim.reserved)
+    return unnecessary
+
+
+def _preemption_order(active_run: ActiveRun) -> tuple[int, float]:
+    return -active_run.priority, active_run.lost_seconds
--- a/galenarill/placement/tests/test_preemption.py
+++ b/galenarill/placement/tests/test_preemption.py
@@ -120,6 +120,9 @@
     st.integers(0, 2),
 )
 @example(needs=[2], present=[(1, 2, True, False), (2, 1, True, False)], free=0)
+@example(
+    needs=[1, 1], present=[(1, 1, True, False), (1, 2, True, False)], free=0
+)
 def test_no_more_stops_than_the_waiting_tasks_need(needs, present, free):
     """Victims are less urgent, preemptible, unique and all necessary."""
     active_runs = [
@@ -133,12 +136,13 @@
         for n, (priority, cpu, may, stopping) in enumerate(present)
     ]
     waiting = [task(n, cpu=cpu) for n, cpu in enumerate(needs)]
-    chosen = choose_victims(
+    preemption = choose_victims(
         [(candidate, 0) for candidate in waiting],
         {"p": [available_worker("w1", free)]},
         {},
         {"w1": active_runs},
-    ).victims
+    )
+    chosen = preemption.victims
     assert len({victim.run for victim in chosen}) == len(chosen)
     for victim in chosen:
         assert victim.priority > 0
@@ -151,3 +155,7 @@
         # Without the smallest victim the waiting tasks would not fit.
         assert freed - smallest < sum(needs)
         assert free + coming < sum(needs)
+        # The same holds for the tasks that get room, which all fit.
+        helped = sum(o.step.need.cpu for o in preemption.helped)
+        released = free + coming + freed
+        assert released - smallest < helped <= released
