Reject no job that can start beside the last tasks ahead of it

Cause: the wait of a new job was the work ahead divided by the capacity, which is the time until that work has ended. The job waits only until it has started. Behind 9 more urgent tasks of at least 100 s on 10 slots, a job of 8 tasks of 0.25 s was rejected with a wait of 90 s, although one slot is free. In a queue of the same priority, 231 waiting tasks of 0.25 s on 10 slots had it rejected, although its tasks fit beside the last of them.

Change: the longest of the shortest durations of the work ahead is deducted.

--- a/galenarill/admission/backlog.py
+++ b/galenarill/admission/backlog.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from galenarill.common import PoolId, TeamId
 from galenarill.jobs import Step
@@ -14,6 +15,7 @@
     "PoolBacklog",
     "WaitingTasks",
     "Work",
+    "WorkAhead",
     "estimate_bounds",
     "surely_precedes_smaller_needs",
 ]
@@ -29,6 +31,26 @@
 NO_WORK: Work = (0.0, 0.0, 0.0)
 
 
+class WorkAhead(NamedTuple):
+    """Work of tasks that start before a task.
+
+    Attributes:
+        work: The work.
+        longest_seconds: Upper bound of the tasks' shortest durations. Those
+            that start last still run when the task starts.
+    """
+
+    work: Work = NO_WORK
+    longest_seconds: float = 0.0
+
+    def plus(self, work: Work, longest_seconds: float) -> "WorkAhead":
+        """Return the sum of both."""
+        return WorkAhead(
+            _plus(self.work, work),
+            max(self.longest_seconds, longest_seconds),
+        )
+
+
 def estimate_bounds(step: Step) -> tuple[float, float]:
     """Return the shortest and longest duration of a task by its estimate.
 
@@ -119,12 +141,14 @@
     """Work of tasks of the same need."""
 
     def __init__(self):
+        self.longest_seconds = 0.0
         self._tasks: list[WaitingTasks] = []
         # The work by objective and by latest start; made when first needed.
         self._by_objective: _WorkUntil | None = None
         self._by_latest_start: _WorkUntil | None = None
 
     def add(self, tasks: WaitingTasks) -> None:
+        self.longest_seconds = max(self.longest_seconds, tasks.seconds)
         self._tasks.append(tasks)
         self._by_objective = self._by_latest_start = None
 
@@ -204,7 +228,7 @@
         priority: int,
         objective_at: float,
         wall_time: float,
-    ) -> Work:
+    ) -> WorkAhead:
         """Return the work of a tenant that is placed before a task of `step`.
 
         This is all work of more urgent queues, and in queues of the same
@@ -219,7 +243,7 @@
             objective_at: Objective of the new job, in Unix seconds.
             wall_time: Current time in Unix seconds.
         """
-        work = NO_WORK
+        total = WorkAhead()
         for (other_priority, other), by_need in self._work.items():
             if other != tenant or other_priority > priority:
                 continue
@@ -229,12 +253,13 @@
                     if other_priority < priority
                     else tasks.in_time_until(objective_at, wall_time)
                 )
-                work = _plus(work, ahead)
-        return work
+                if any(ahead):
+                    total = total.plus(ahead, tasks.longest_seconds)
+        return total
 
     def more_urgent_work(
         self, step: Step, priority: int, tenants: frozenset[TeamId]
-    ) -> Work:
+    ) -> WorkAhead:
         """Return the work of some tenants in queues of higher priority.
 
         Args:
@@ -242,12 +267,12 @@
             priority: Priority of the new job's queue.
             tenants: Tenants whose work is counted.
         """
-        work = NO_WORK
+        total = WorkAhead()
         for (other_priority, other), by_need in self._work.items():
             if other_priority < priority and other in tenants:
                 for tasks in _no_larger(by_need, step):
-                    work = _plus(work, tasks.total())
-        return work
+                    total = total.plus(tasks.total(), tasks.longest_seconds)
+        return total
 
 
 def _no_larger(
--- a/galenarill/admission/decision.py
+++ b/galenarill/admission/decision.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Callable
 
-from galenarill.admission.backlog import PoolBacklog, Work
+from galenarill.admission.backlog import PoolBacklog, Work, WorkAhead
 from galenarill.admission.retries import RetrySchedule
 from galenarill.common import JobId, TeamId
 from galenarill.jobs import JobSpec, Step
@@ -183,8 +183,10 @@
 ) -> Completion:
     """Return the earliest possible completion of a job.
 
-    Its wait is the longest that one of its steps certainly has. What the
-    capacity may have done since the backlog was read is deducted. Work of
+    Its wait is the longest that one of its steps certainly has. The work ahead
+    has started when the step starts, but the last tasks of it may still run, on
+    all of the capacity: the longest duration is deducted. So is what the
+    capacity may have done since the backlog was read. Work of
     other tenants is counted only if it is of more urgent queues and of tenants
     without a limit: otherwise fair sharing may place the new job first.
 
@@ -210,10 +212,10 @@
             submission.submitted_at,
         )
         urgent = backlog.more_urgent_work(step, priority, others)
-        both = own[0] + urgent[0], own[1] + urgent[1], own[2] + urgent[2]
+        both = own.plus(*urgent)
         waits += [
-            (_seconds_for(both, maximum), both, maximum, False),
-            (_seconds_for(own, limited), own, limited, True),
+            (_seconds_until_started(both, maximum), both.work, maximum, False),
+            (_seconds_until_started(own, limited), own.work, limited, True),
         ]
     seconds, work, capacity, is_tenant_bound = max(
         waits, key=lambda wait: wait[0]
@@ -275,6 +277,11 @@
     )
 
 
+def _seconds_until_started(ahead: WorkAhead, capacity: Resources) -> float:
+    """Return the least time until all tasks ahead have started."""
+    return _seconds_for(ahead.work, capacity) - ahead.longest_seconds
+
+
 def _seconds_for(work: Work, capacity: Resources) -> float:
     """Return the time that some work takes at least on some capacity.
 
