Bound the cost of a decision on a job of many steps

Cause: the wait was computed for each step of a job, of which a job may have 100,000. The decision on one of 1,000 steps behind 50 different needs occupied the leader's thread for 100 ms.

Change: the wait is computed once for each need and label, of at most 8. Steps that are left out could only make the job wait longer.

A test counts the computations; it fails without the change.

--- a/galenarill/admission/decision.py
+++ b/galenarill/admission/decision.py
@@ -22,6 +22,10 @@
 
 # Chance of a wrong rejection below which a job counts as certainly too late.
 MAX_CHANCE = 0.001
+# Number of different needs and labels of a job's steps for which its wait is
+# computed. The others may wait longer, so that fewer jobs are rejected. A job
+# may have 100,000 steps, and each takes 0.1 ms or more of the leader's thread.
+MAX_STEP_KINDS = 8
 
 # Shortest and longest duration of a task of a step, in seconds.
 DurationBounds = Callable[[Step], tuple[float, float]]
@@ -203,7 +207,7 @@
     others = submission.unlimited_tenants - {submission.tenant}
     # Time, work and capacity, and whether the tenant's limit binds.
     waits = []
-    for step in submission.spec.steps:
+    for step in _kinds_of_steps(submission.spec):
         own = backlog.work_before(
             submission.tenant,
             step,
@@ -277,6 +281,16 @@
     )
 
 
+def _kinds_of_steps(spec: JobSpec) -> list[Step]:
+    """Return one step for each need and label, up to `MAX_STEP_KINDS`."""
+    kinds: dict[tuple[Resources, str], Step] = {}
+    for step in spec.steps:
+        kinds.setdefault((step.reserved, step.label), step)
+        if len(kinds) == MAX_STEP_KINDS:
+            break
+    return list(kinds.values())
+
+
 def _seconds_until_started(ahead: WorkAhead, capacity: Resources) -> float:
     """Return the least time until all tasks ahead have started."""
     return _seconds_for(ahead.work, capacity) - ahead.longest_seconds
--- a/galenarill/admission/tests/test_decision.py
+++ b/galenarill/admission/tests/test_decision.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import heapq
+import unittest.mock
 
 import msgspec
 import pytest
@@ -13,6 +14,7 @@
     RetrySchedule,
     Submission,
     WaitingTasks,
+    WorkAhead,
     decide_admission,
     estimate_bounds,
 )
@@ -166,3 +168,22 @@
     # The last resource is missing, for which the job waits anyway.
     huge = msgspec.structs.replace(STEP, need=Resources(10**6, 1, 1))
     assert decide(step=huge).is_accepted
+
+
+def test_the_cost_does_not_grow_with_the_steps_of_a_job():
+    """Guards against one caller that occupies the leader's thread.
+
+    A job may have 100,000 steps.
+    """
+    steps = tuple(
+        msgspec.structs.replace(STEP, need=Resources(1000 + n % 50, 1000))
+        for n in range(1000)
+    )
+    with unittest.mock.patch.object(
+        PoolBacklog, "work_before", autospec=True, return_value=WorkAhead()
+    ) as work_before:
+        decide(make_tasks(10), spec=JobSpec("x", steps))
+        assert 0 < work_before.call_count <= 8
+        work_before.reset_mock()
+        decide(make_tasks(10), spec=JobSpec("x", (STEP,) * 1000))
+        assert work_before.call_count == 1
