Don't count speculative tasks of started jobs as work ahead

Cause: the ready tasks that the placer lists include copies of tasks that run already. A copy that waits is dropped once the first run ends, so that it may never take the shortest duration for which it was counted.

Change: they are left out, as are tasks that may have a checkpoint.

Tested: a test for both; the case of copies fails without the change.

--- a/galenarill/coordinator/admitting.py
+++ b/galenarill/coordinator/admitting.py
@@ -235,14 +235,17 @@
         """Return whether tasks certainly take their time and can't be passed.
 
         Those that need a trial or advice may have to wait for it, and those
-        with a checkpoint may have little left to do.
+        with a checkpoint may have little left to do. A speculative copy is not
+        needed any more once the first run ends.
         """
         job = self._context.state.jobs.get(group.job)
+        step = group.step
+        may_be_short = step.is_checkpointing or step.is_speculative
         return (
             job is not None
             and not group.is_trial
-            and surely_precedes_smaller_needs(group.step)
-            and not (group.step.is_checkpointing and job.has_started)
+            and surely_precedes_smaller_needs(step)
+            and not (may_be_short and job.has_started)
             and job.queue_settings.advice is None
         )
 
--- a/galenarill/coordinator/tests/test_admission.py
+++ b/galenarill/coordinator/tests/test_admission.py
@@ -140,6 +140,24 @@
     assert simulation.call(decide, *arguments).is_accepted
 
 
+@pytest.mark.parametrize("kind", ["is_speculative", "is_checkpointing"])
+def test_tasks_that_may_have_little_left_to_do_are_not_counted(load, kind):
+    """Guards against rejections behind copies whose first run soon ends.
+
+    Steps of started jobs may have copies or checkpoints, of others not.
+    """
+    simulation = load.simulation
+    for n in range(40):
+        simulation.submit(f"j{n}", 8, "t", estimate_ms=1000, **{kind: True})
+    queue = simulation.state.routing.queue("q")
+    decide = simulation.leader.decide_admission
+    assert not simulation.call(decide, "new", SPEC, queue, "t").is_accepted
+    for job in simulation.state.jobs.values():
+        job.has_started = True
+    simulation.advance(0.2)
+    assert simulation.call(decide, "new", SPEC, queue, "t").is_accepted
+
+
 def test_a_job_that_is_being_accepted_is_not_rejected(load):
     """Guards against 429 for the resend of a job that runs."""
     first = SubmitJob(HOST, "/a/", "key", "first", SPEC)
