Read the tenants' limits again after a change of the configuration

Cause: limits are read together with what waits, every 0.1 s, or every 2 s for 10,000 groups. Until then, a tenant whose limit was raised was rejected under the earlier one.

Change: a new configuration causes a new reading.

Tested: a test raises a limit between two decisions; it fails without the change.

--- a/galenarill/coordinator/admitting.py
+++ b/galenarill/coordinator/admitting.py
@@ -78,9 +78,9 @@
 class JobAdmitter(AdmissionPolicy):
     """Decides from the tasks that the placer of one term knows.
 
-    What waits is read at most each `READING_SECONDS`, and only when a job is
-    submitted; a decision costs by the number of different needs of a tenant's
-    waiting tasks, not by their number.
+    What waits is read at most each `READING_SECONDS`, or after a change of the
+    configuration, and only when a job is submitted; a decision costs by the
+    number of different needs of a tenant's waiting tasks, not by their number.
     """
 
     def __init__(
@@ -109,6 +109,8 @@
         self._schedule = RetrySchedule()
         self._machines: MachineList | None = None
         self._read_again_at = float("-inf")
+        # Configuration that the limits were read from.
+        self._routing = context.state.routing
         self._backlogs: dict[PoolId, PoolBacklog] = {}
         self._usage = TenantUsage({}, {}, Resources())
         self._quotas: dict[TeamId, Quota] = {}
@@ -133,7 +135,9 @@
             or not self._context.has_leader_lease()
         ):
             return Admission()
-        if now >= self._read_again_at:
+        routing = self._context.state.routing
+        if now >= self._read_again_at or self._routing is not routing:
+            self._routing = routing
             self._read(now)
         backlog = self._backlogs.get(queue.pool)
         if backlog is None:
--- a/galenarill/coordinator/tests/test_admission.py
+++ b/galenarill/coordinator/tests/test_admission.py
@@ -158,6 +158,19 @@
     assert simulation.call(decide, "new", SPEC, queue, "t").is_accepted
 
 
+def test_a_raised_limit_counts_at_once(load):
+    """Guards against rejections under the limit of an earlier configuration."""
+    simulation = load.simulation
+    for n in range(40):
+        simulation.submit(f"j{n}", 8, "t", estimate_ms=1000)
+    decide = simulation.leader.decide_admission
+    queue = simulation.state.routing.queue("q")
+    assert not simulation.call(decide, "new", SPEC, queue, "t").is_accepted
+    raised = (Tenant("t", ("key",), 1.0, Resources()),)
+    load.cluster.configure(make_queue("q", "/a/"), tenants=raised)
+    assert simulation.call(decide, "new", SPEC, queue, "t").is_accepted
+
+
 def test_a_job_that_is_being_accepted_is_not_rejected(load):
     """Guards against 429 for the resend of a job that runs."""
     first = SubmitJob(HOST, "/a/", "key", "first", SPEC)
