Count listed machines and workers without one together

Cause: the capacity that could join a pool was that of all workers or that of all listed machines, whichever is larger. Where only some workers run on machines of the platform, both are less than the capacity that is there.

Change: workers on no listed machine are added to the listed machines. The protocol MachineList is renamed to MachineInventory, because galenarill.pools has a type of that name.

Tested: a test with a machine that is switched off and a worker on a listed one; it fails without the change.

--- a/galenarill/coordinator/admitting.py
+++ b/galenarill/coordinator/admitting.py
@@ -33,7 +33,7 @@
 from galenarill.telemetry import meter
 from galenarill.workers import WorkerRegistry
 
-__all__ = ["AdmissionPolicy", "JobAdmitter", "MachineList"]
+__all__ = ["AdmissionPolicy", "JobAdmitter", "MachineInventory"]
 
 logger = logging.getLogger(__name__)
 
@@ -69,7 +69,7 @@
         """
 
 
-class MachineList(Protocol):
+class MachineInventory(Protocol):
     """Machines of the platform, also those that are switched off."""
 
     machines: dict[MachineId, Machine]
@@ -107,7 +107,7 @@
         self._useful_lateness = useful_lateness
         self._bounds = bounds
         self._schedule = RetrySchedule()
-        self._machines: MachineList | None = None
+        self._machines: MachineInventory | None = None
         self._read_again_at = float("-inf")
         # Configuration that the limits were read from.
         self._routing = context.state.routing
@@ -120,7 +120,7 @@
             collections.deque()
         )
 
-    def count_machines(self, machines: MachineList) -> None:
+    def count_machines(self, machines: MachineInventory) -> None:
         """Count listed machines toward the capacity that could join a pool."""
         self._machines = machines
 
@@ -255,12 +255,20 @@
 
     def _max_capacity(self, now: float) -> Resources:
         """Return the largest capacity of late that could join one pool."""
-        workers = _total(
-            known.report.capacity for known in self._registry.workers.values()
+        machines = self._machines.machines if self._machines else {}
+        listed_workers = {machine.worker for machine in machines.values()}
+        reports = [known.report for known in self._registry.workers.values()]
+        workers = _total(report.capacity for report in reports)
+        # Workers need not run on a machine of the platform.
+        listed = _total(machine.capacity for machine in machines.values())
+        unlisted = _total(
+            report.capacity
+            for report in reports
+            if report.machine not in machines
+            and report.worker not in listed_workers
         )
-        machines = self._machines.machines.values() if self._machines else ()
-        listed = _total(machine.capacity for machine in machines)
-        self._capacities.append((now, _larger(workers, listed)))
+        capacity = _larger(workers, listed.plus(unlisted))
+        self._capacities.append((now, capacity))
         while self._capacities[0][0] < now - CAPACITY_SECONDS:
             self._capacities.popleft()
         largest = Resources()
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -18,7 +18,7 @@
 from galenarill.coordinator.admitting import (
     AdmissionPolicy,
     JobAdmitter,
-    MachineList,
+    MachineInventory,
 )
 from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.cordons import CordonReason
@@ -249,7 +249,7 @@
         """Decide on a new job; see `AdmissionPolicy`."""
         return self._admitter.decide_admission(job_id, spec, queue, tenant)
 
-    def count_machines(self, machines: MachineList) -> None:
+    def count_machines(self, machines: MachineInventory) -> None:
         """Count listed machines toward the capacity that could join a pool."""
         self._admitter.count_machines(machines)
 
--- a/galenarill/coordinator/tests/test_admission.py
+++ b/galenarill/coordinator/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Tests of rejections by the leader, under load in virtual time."""
 
 import asyncio
+import types
 import unittest.mock
 
 import pytest
@@ -171,6 +172,30 @@
     assert simulation.call(decide, "new", SPEC, queue, "t").is_accepted
 
 
+def test_machines_without_a_worker_count_beside_workers_without_a_machine(load):
+    """Guards against rejections although machines could still be switched on.
+
+    The workers run on no listed machine, except for one.
+    """
+    simulation = load.simulation
+    simulation.submit("u", 50, "u", estimate_ms=1000)
+    workers = [known.report for known in simulation.registry.workers.values()]
+    listed, total = workers[0], sum(report.capacity.cpu for report in workers)
+    machines = {
+        "on": types.SimpleNamespace(
+            capacity=listed.capacity, worker=listed.worker
+        ),
+        "off": types.SimpleNamespace(capacity=Resources(7), worker=""),
+    }
+    simulation.leader.count_machines(types.SimpleNamespace(machines=machines))
+    queue = simulation.state.routing.queue("q")
+    admission = simulation.call(
+        simulation.leader.decide_admission, "new", SPEC, queue, "u"
+    )
+    assert admission.cpu_seconds_ahead > 0
+    assert admission.capacity.cpu == total + 7
+
+
 def test_a_job_that_is_being_accepted_is_not_rejected(load):
     """Guards against 429 for the resend of a job that runs."""
     first = SubmitJob(HOST, "/a/", "key", "first", SPEC)
