Reject no job before the list of machines is read

Cause: a leader decides 3 s after the beginning of its term. If the platform does not answer then, it has no list of machines, and after a restart of all coordinators it may know few of the workers, so that it divided the work by a part of the capacity.

Change: a leader with a machine interface rejects nothing before it has read the list once.

Tested: a test without a list and with one; it fails without the change.

--- a/galenarill/coordinator/admitting.py
+++ b/galenarill/coordinator/admitting.py
@@ -70,9 +70,15 @@
 
 
 class MachineInventory(Protocol):
-    """Machines of the platform, also those that are switched off."""
+    """Machines of the platform, also those that are switched off.
+
+    Attributes:
+        machines: Machines as last read, by id.
+        read_at: When they were read, or minus infinity if they never were.
+    """
 
     machines: dict[MachineId, Machine]
+    read_at: float
 
 
 class JobAdmitter(AdmissionPolicy):
@@ -133,6 +139,7 @@
             not self._useful_lateness
             or now < self._context.began_at + SETTLING_SECONDS
             or not self._context.has_leader_lease()
+            or not self._are_machines_known()
         ):
             return Admission()
         routing = self._context.state.routing
@@ -253,6 +260,10 @@
             and job.queue_settings.advice is None
         )
 
+    def _are_machines_known(self) -> bool:
+        """Return whether the machines were read, if the platform lists any."""
+        return self._machines is None or self._machines.read_at > float("-inf")
+
     def _max_capacity(self, now: float) -> Resources:
         """Return the largest capacity of late that could join one pool."""
         machines = self._machines.machines if self._machines else {}
--- a/galenarill/coordinator/tests/test_admission.py
+++ b/galenarill/coordinator/tests/test_admission.py
@@ -187,7 +187,9 @@
         ),
         "off": types.SimpleNamespace(capacity=Resources(7), worker=""),
     }
-    simulation.leader.count_machines(types.SimpleNamespace(machines=machines))
+    simulation.leader.count_machines(
+        types.SimpleNamespace(machines=machines, read_at=0.0)
+    )
     queue = simulation.state.routing.queue("q")
     admission = simulation.call(
         simulation.leader.decide_admission, "new", SPEC, queue, "u"
@@ -196,6 +198,24 @@
     assert admission.capacity.cpu == total + 7
 
 
+def test_nothing_is_rejected_before_the_machines_are_read(load):
+    """Guards against rejections by a part of the capacity.
+
+    A leader that has just started may know few workers, and no machines while
+    the platform does not answer.
+    """
+    simulation = load.simulation
+    for n in range(40):
+        simulation.submit(f"j{n}", 8, "t", estimate_ms=1000)
+    inventory = types.SimpleNamespace(machines={}, read_at=float("-inf"))
+    simulation.leader.count_machines(inventory)
+    decide = simulation.leader.decide_admission
+    arguments = "new", SPEC, simulation.state.routing.queue("q"), "t"
+    assert simulation.call(decide, *arguments).is_accepted
+    inventory.read_at = 0.0
+    assert not simulation.call(decide, *arguments).is_accepted
+
+
 def test_a_job_that_is_being_accepted_is_not_rejected(load):
     """Guards against 429 for the resend of a job that runs."""
     first = SubmitJob(HOST, "/a/", "key", "first", SPEC)
