--- a/galenarill/cluster/messages.py
+++ b/galenarill/cluster/messages.py
@@ -161,6 +161,8 @@
     # Another queue or tenant has a job with this id.
     ID_IN_USE = "id in use"
     UNKNOWN_ZONE = "unknown zone"
+    # The job certainly comes too late to be useful.
+    TOO_LATE = "too late"
 
 
 # Codes that say that a request was not carried out.
@@ -172,6 +174,7 @@
         Code.INVALID,
         Code.ID_IN_USE,
         Code.UNKNOWN_ZONE,
+        Code.TOO_LATE,
     }
 )
 
@@ -219,7 +222,8 @@
         call: Number of the call.
         code: Outcome.
         text: Status of a job or wave, or the reason for a refusal.
-        number: Count or version.
+        number: Count or version, or the seconds after which a job that is
+            rejected as too late is to be submitted again.
         document: Requested document.
     """
 
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -5,14 +5,21 @@
 import math
 from collections.abc import Callable
 
+from galenarill.admission import Admission
 from galenarill.common import (
     JobId,
     MachineId,
     PoolId,
+    TeamId,
     WorkerId,
     monotonic_now,
     wall_now,
 )
+from galenarill.coordinator.admitting import (
+    AdmissionPolicy,
+    JobAdmitter,
+    MachineInventory,
+)
 from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.crashes import CrashMonitor
@@ -30,6 +37,7 @@
     ForgetJobs,
     Incarnation,
     Job,
+    JobSpec,
     JobStatus,
     Step,
 )
@@ -42,7 +50,7 @@
     PoolLoad,
     Work,
 )
-from galenarill.routing import Resources
+from galenarill.routing import Queue, Resources
 from galenarill.telemetry import meter
 from galenarill.workers import (
     AdviceClient,
@@ -75,7 +83,7 @@
 MACHINE_ARRIVAL_SECONDS = 2.0
 
 
-class Leader:
+class Leader(AdmissionPolicy):
     """Schedules while this coordinator leads the log.
 
     Orders are sent only while leadership is confirmed, and carry the term as
@@ -96,6 +104,7 @@
         advice_client: AdviceClient | None = None,
         share_half_life_seconds: float = 0.0,
         timeouts: OrderTimeouts | None = None,
+        useful_lateness: float = 0.0,
     ):
         """Create the scheduler of a term; `start` starts it.
 
@@ -112,6 +121,8 @@
             share_half_life_seconds: Half-life of the usage of tenants in the
                 order between them; 0 if only current usage counts.
             timeouts: Timeouts of orders to workers, or None for the defaults.
+            useful_lateness: Multiple of its objective for which a job is
+                useful, or 0 to reject none.
         """
         self._state = state
         # Jobs that are not done, failed or cancelled.
@@ -168,6 +179,9 @@
             if share_half_life_seconds
             else None,
         )
+        self._admitter = JobAdmitter(
+            self._context, self._placer, registry, useful_lateness
+        )
 
     def start(self) -> None:
         """Adopt the runs in the replicated state and start scheduling."""
@@ -253,6 +267,16 @@
         if changed_jobs:
             self._context.wake.set()
 
+    def decide_admission(
+        self, job_id: JobId, spec: JobSpec, queue: Queue, tenant: TeamId
+    ) -> Admission:
+        """Decide on a new job; see `AdmissionPolicy`."""
+        return self._admitter.decide_admission(job_id, spec, queue, tenant)
+
+    def count_machines(self, machines: MachineInventory) -> None:
+        """Count listed machines toward the capacity that could join a pool."""
+        self._admitter.count_machines(machines)
+
     def _index_job(self, job_id: JobId, job: Job | None) -> None:
         if job is None or job.status is not JobStatus.ACTIVE:
             self._active_jobs.discard(job_id)
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -150,6 +150,7 @@
             self._proposals.propose,
             self._can_serve_reads,
             self._knows_zone,
+            lambda: self._leader,
         )
         self._mesh = Mesh(
             self._vm,
@@ -440,6 +441,7 @@
             self._advice_client,
             settings.share_half_life_seconds,
             order_timeouts(settings.order_repeat_ms),
+            settings.useful_lateness,
         )
         self._leader.start()
         self._led_since = monotonic_now()
@@ -455,6 +457,7 @@
             )
             self._fleet = fleet
             self._leader.disruptions.watch(fleet)
+            self._leader.count_machines(fleet)
             rebalancer = PoolRebalancer(self._leader, self._state, fleet)
             wave_runner = WaveRunner(
                 self._leader, self._state, fleet, self._proposals.propose
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -13,6 +13,7 @@
     monotonic_now,
     wall_now,
 )
+from galenarill.coordinator.admitting import AdmissionPolicy
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
     AcceptJob,
@@ -56,6 +57,7 @@
         propose: Callable,
         can_serve_reads: Callable[[], bool],
         knows_zone: Callable[[AvailabilityZoneId], bool | None],
+        admission_policy: Callable[[], AdmissionPolicy | None] = lambda: None,
     ):
         """Create a handler that reads `state`.
 
@@ -66,6 +68,8 @@
                 up to date.
             knows_zone: Returns whether a worker, machine or VM is in a zone,
                 or None if not all of them are known yet.
+            admission_policy: Returns what decides on new jobs, or None if this
+                coordinator doesn't lead, so that it rejects none.
         """
         self._state = state
         self._propose = propose
@@ -75,6 +79,7 @@
         self._changing_zones: collections.Counter[AvailabilityZoneId] = (
             collections.Counter()
         )
+        self._admission_policy = admission_policy
         # Path of the queue, and tenant, of the jobs that are being accepted.
         self._accepting: dict[JobId, tuple[tuple[str, str], TeamId]] = {}
         self._counted_at = float("-inf")
@@ -124,9 +129,28 @@
             logger.info("job id in use", extra={"job": request.job})
             return Reply(call, Code.ID_IN_USE)
         if request.job not in self._state.jobs:
+            retry_after = self._retry_after_seconds(request, queue, tenant)
+            if retry_after is not None:
+                return Reply(call, Code.TOO_LATE, number=retry_after)
             await self._accept(request, queue, tenant)
         return Reply(call, Code.DONE)
 
+    def _retry_after_seconds(
+        self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
+    ) -> int | None:
+        """Return after how long to submit a job again, or None to accept it.
+
+        A job that is being accepted is never rejected: its first attempt may
+        be committed.
+        """
+        policy = self._admission_policy()
+        if policy is None or request.job in self._accepting:
+            return None
+        admission = policy.decide_admission(
+            request.job, request.spec, queue, tenant
+        )
+        return admission.retry_after_seconds
+
     async def _accept(
         self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
     ) -> None:
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -83,10 +83,12 @@
         has_machines=False,
         leader_options=None,
         zones=None,
+        useful_lateness=0.0,
     ):
         self.leader_options = leader_options or {}
         self.advice = advice
         self.commit_seconds = commit_seconds
+        self.useful_lateness = useful_lateness
         # Probability that a pending entry of a deposed leader is committed.
         self.survival_rate = 0.5
         self.pending = []
@@ -153,6 +155,7 @@
             MAX_LEASE_SECONDS,
             self.advice,
             **self.leader_options,
+            useful_lateness=self.useful_lateness,
         )
         self.leader.start()
 
--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -42,6 +42,9 @@
             is repeated for the first time; 0 for the timeout of all attempts.
         zones: Availability zones that can be evacuated even if no worker or
             machine in them is known.
+        useful_lateness: Multiple of its objective for which a job's result is
+            useful. A job that certainly comes later is rejected; 0 rejects
+            none.
     """
 
     vm: str
@@ -66,6 +69,7 @@
     share_half_life_seconds: float = 0.0
     order_repeat_ms: float = 0.0
     zones: list[str] = dataclasses.field(default_factory=list)
+    useful_lateness: float = 0.0
 
     @property
     def link_address(self) -> VmId:
@@ -119,6 +123,8 @@
         faults.append(
             ("order_repeat_ms", "must be 0 or a number of milliseconds")
         )
+    if settings.useful_lateness != 0 and not settings.useful_lateness >= 1:
+        faults.append(("useful_lateness", "must be 0, or at least 1"))
     return faults
 
 
