--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -13,6 +13,7 @@
 from galenarill.cli.keys import key_app, operator_app
 from galenarill.cli.report import report
 from galenarill.cli.trace import trace
+from galenarill.cli.zones import zone_app
 from galenarill.errors import (
     GalenarillError,
     SettingsErrorGroup,
@@ -35,6 +36,7 @@
 app.command(key_app)
 app.command(operator_app)
 app.command(vm_app)
+app.command(zone_app)
 app.command(check)
 app.command(report)
 app.command(status)
--- a/galenarill/cluster/messages.py
+++ b/galenarill/cluster/messages.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from galenarill.common import JobId, MachineId, VmId, WorkerId
+from galenarill.common import (
+    AvailabilityZoneId,
+    JobId,
+    MachineId,
+    VmId,
+    WorkerId,
+)
 from galenarill.jobs.model import JobSpec
 from galenarill.routing import Configuration
 from galenarill.workers.report import WorkerReport
@@ -21,6 +27,7 @@
     "WorkerLeft",
     "BeginWave",
     "AskWave",
+    "ChangeEvacuation",
     "Code",
     "REFUSALS",
     "CHANGES",
@@ -131,6 +138,13 @@
     wave: int
 
 
+class ChangeEvacuation(msgspec.Struct, frozen=True, array_like=True, tag="ez"):
+    """Request to evacuate a zone, or to revoke its evacuation."""
+
+    zone: AvailabilityZoneId
+    is_evacuated: bool
+
+
 class Code(enum.Enum):
     """Outcome of a call."""
 
@@ -146,6 +160,9 @@
     INVALID = "invalid"
     # Another queue or tenant has a job with this id.
     ID_IN_USE = "id in use"
+    UNKNOWN_ZONE = "unknown zone"
+    # The job certainly comes too late to be useful.
+    TOO_LATE = "too late"
 
 
 # Codes that say that a request was not carried out.
@@ -156,6 +173,8 @@
         Code.UNKNOWN_KEY,
         Code.INVALID,
         Code.ID_IN_USE,
+        Code.UNKNOWN_ZONE,
+        Code.TOO_LATE,
     }
 )
 
@@ -166,6 +185,7 @@
     ChangeConfiguration,
     ReportWorker,
     BeginWave,
+    ChangeEvacuation,
 )
 
 _Request = (
@@ -179,6 +199,7 @@
     | WorkerLeft
     | BeginWave
     | AskWave
+    | ChangeEvacuation
 )
 
 
@@ -201,7 +222,8 @@
         call: Number of the call.
         code: Outcome.
         text: Status of a job or wave, or the reason for a refusal.
-        number: Count or version.
+        number: Count or version, or the seconds after which a job that is
+            rejected as too late is to be submitted again.
         document: Requested document.
     """
 
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -5,14 +5,21 @@
 import math
 from collections.abc import Callable
 
+from galenarill.admission import Admission
 from galenarill.common import (
     JobId,
     MachineId,
     PoolId,
+    TeamId,
     WorkerId,
     monotonic_now,
     wall_now,
 )
+from galenarill.coordinator.admitting import (
+    AdmissionPolicy,
+    JobAdmitter,
+    MachineInventory,
+)
 from galenarill.coordinator.advisor import Advisor
 from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.crashes import CrashMonitor
@@ -30,6 +37,7 @@
     ForgetJobs,
     Incarnation,
     Job,
+    JobSpec,
     JobStatus,
     Step,
 )
@@ -42,7 +50,7 @@
     PoolLoad,
     Work,
 )
-from galenarill.routing import Resources
+from galenarill.routing import Queue, Resources
 from galenarill.telemetry import meter
 from galenarill.workers import (
     AdviceClient,
@@ -61,6 +69,7 @@
 # 1 while this coordinator leads. Its other gauges are stale otherwise.
 _IS_LEADING = meter().create_gauge("galenarill_leads")
 _VERSION = meter().create_gauge("galenarill_configuration_version")
+_EVACUATED_ZONES = meter().create_gauge("galenarill_evacuated_zones")
 _TENANT_CPU = meter().create_gauge("galenarill_tenant_running_cpu")
 _TENANT_RECENT_SHARE = meter().create_gauge("galenarill_tenant_recent_share")
 
@@ -74,7 +83,7 @@
 MACHINE_ARRIVAL_SECONDS = 2.0
 
 
-class Leader:
+class Leader(AdmissionPolicy):
     """Schedules while this coordinator leads the log.
 
     Orders are sent only while leadership is confirmed, and carry the term as
@@ -95,6 +104,7 @@
         advice_client: AdviceClient | None = None,
         share_half_life_seconds: float = 0.0,
         timeouts: OrderTimeouts | None = None,
+        useful_lateness: float = 0.0,
     ):
         """Create the scheduler of a term; `start` starts it.
 
@@ -111,6 +121,8 @@
             share_half_life_seconds: Half-life of the usage of tenants in the
                 order between them; 0 if only current usage counts.
             timeouts: Timeouts of orders to workers, or None for the defaults.
+            useful_lateness: Multiple of its objective for which a job is
+                useful, or 0 to reject none.
         """
         self._state = state
         # Jobs that are not done, failed or cancelled.
@@ -167,12 +179,21 @@
             if share_half_life_seconds
             else None,
         )
+        self._admitter = JobAdmitter(
+            self._context, self._placer, registry, useful_lateness
+        )
 
     def start(self) -> None:
         """Adopt the runs in the replicated state and start scheduling."""
         _TERMS_LED.add(1)
         _IS_LEADING.set(1)
-        logger.info("leading", extra={"term": self.term})
+        logger.info(
+            "leading",
+            extra={
+                "term": self.term,
+                "evacuated_zones": sorted(self._state.evacuated_zones),
+            },
+        )
         now = monotonic_now()
         for job_id, job in self._state.jobs.items():
             self.runs.update(self._state, job_id, Phase.INHERITED, now)
@@ -246,6 +267,16 @@
         if changed_jobs:
             self._context.wake.set()
 
+    def decide_admission(
+        self, job_id: JobId, spec: JobSpec, queue: Queue, tenant: TeamId
+    ) -> Admission:
+        """Decide on a new job; see `AdmissionPolicy`."""
+        return self._admitter.decide_admission(job_id, spec, queue, tenant)
+
+    def count_machines(self, machines: MachineInventory) -> None:
+        """Count listed machines toward the capacity that could join a pool."""
+        self._admitter.count_machines(machines)
+
     def _index_job(self, job_id: JobId, job: Job | None) -> None:
         if job is None or job.status is not JobStatus.ACTIVE:
             self._active_jobs.discard(job_id)
@@ -366,7 +397,11 @@
         )
 
     def add_load(self, loads: dict[PoolId, PoolLoad]) -> None:
-        """Add running and waiting tasks to the load of each pool."""
+        """Add running and waiting tasks to the load of each pool.
+
+        Runs in evacuated zones need none of the machines that count.
+        """
+        evacuated = self._evacuated_workers()
         wall_time = wall_now()
         late_jobs = {
             waiting.job
@@ -384,6 +419,8 @@
                 job_id, math.inf
             )
             for run in self.runs.runs_of(job_id):
+                if evacuated and run.incarnation.worker in evacuated:
+                    continue
                 if run.step.is_long_running:
                     load.lasting = load.lasting.plus(run.step.reserved)
                 elif is_late:
@@ -412,6 +449,16 @@
         for pool, load in loads.items():
             load.arriving = self._arrivals.capacity(pool, now)
 
+    def _evacuated_workers(self) -> frozenset[WorkerId]:
+        zones = self._state.evacuated_zones
+        if not zones:
+            return frozenset()
+        return frozenset(
+            worker
+            for worker, session in self.sessions.items()
+            if session.report.zone in zones
+        )
+
     async def _tick(self) -> None:
         await asyncio.sleep(TICK_SECONDS)
         if not self._context.has_leader_lease():
@@ -426,6 +473,7 @@
     async def _do_housekeeping(self) -> None:
         _VERSION.set(self._state.routing.configuration.version)
         recent_shares = self._placer.recent_shares()
+        _EVACUATED_ZONES.set(len(self._state.evacuated_zones))
         for tenant, used in self.runs.used_by_tenant.items():
             _TENANT_CPU.set(used.cpu, {"tenant": tenant})
             if self._counts_recent_usage:
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -6,7 +6,14 @@
 
 from galenarill.cluster import messages as msg
 from galenarill.cluster.messages import Code, Reply
-from galenarill.common import JobId, TeamId, monotonic_now, wall_now
+from galenarill.common import (
+    AvailabilityZoneId,
+    JobId,
+    TeamId,
+    monotonic_now,
+    wall_now,
+)
+from galenarill.coordinator.admitting import AdmissionPolicy
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
     AcceptJob,
@@ -14,9 +21,11 @@
     ClusterState,
     Configure,
     DrainWorker,
+    EvacuateZone,
     Job,
     JobSpec,
     JobStatus,
+    RestoreZone,
     StartWave,
 )
 from galenarill.placement import critical_path_seconds, estimated_seconds
@@ -47,6 +56,8 @@
         state: ClusterState,
         propose: Callable,
         can_serve_reads: Callable[[], bool],
+        knows_zone: Callable[[AvailabilityZoneId], bool | None],
+        admission_policy: Callable[[], AdmissionPolicy | None] = lambda: None,
     ):
         """Create a handler that reads `state`.
 
@@ -55,10 +66,20 @@
             propose: Proposes commands, and returns a future of their commit.
             can_serve_reads: Returns whether this replica leads and `state` is
                 up to date.
+            knows_zone: Returns whether a worker, machine or VM is in a zone,
+                or None if not all of them are known yet.
+            admission_policy: Returns what decides on new jobs, or None if this
+                coordinator doesn't lead, so that it rejects none.
         """
         self._state = state
         self._propose = propose
         self._can_serve_reads = can_serve_reads
+        self._knows_zone = knows_zone
+        # Number of uncommitted changes of each zone.
+        self._changing_zones: collections.Counter[AvailabilityZoneId] = (
+            collections.Counter()
+        )
+        self._admission_policy = admission_policy
         # Path of the queue, and tenant, of the jobs that are being accepted.
         self._accepting: dict[JobId, tuple[tuple[str, str], TeamId]] = {}
         self._counted_at = float("-inf")
@@ -91,6 +112,8 @@
                     return await self._start_wave(call, request)
                 case msg.AskWave():
                     return self._wave_status(call, request)
+                case msg.ChangeEvacuation():
+                    return await self._change_evacuation(call, request)
         except NotLeaderError:
             return Reply(call, Code.UNSETTLED)
         return Reply(call, Code.INVALID)
@@ -106,9 +129,28 @@
             logger.info("job id in use", extra={"job": request.job})
             return Reply(call, Code.ID_IN_USE)
         if request.job not in self._state.jobs:
+            retry_after = self._retry_after_seconds(request, queue, tenant)
+            if retry_after is not None:
+                return Reply(call, Code.TOO_LATE, number=retry_after)
             await self._accept(request, queue, tenant)
         return Reply(call, Code.DONE)
 
+    def _retry_after_seconds(
+        self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
+    ) -> int | None:
+        """Return after how long to submit a job again, or None to accept it.
+
+        A job that is being accepted is never rejected: its first attempt may
+        be committed.
+        """
+        policy = self._admission_policy()
+        if policy is None or request.job in self._accepting:
+            return None
+        admission = policy.decide_admission(
+            request.job, request.spec, queue, tenant
+        )
+        return admission.retry_after_seconds
+
     async def _accept(
         self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
     ) -> None:
@@ -278,6 +320,46 @@
         text = "completed" if wave.is_completed else "running"
         return Reply(call, Code.DONE, text)
 
+    async def _change_evacuation(
+        self, call: int, request: msg.ChangeEvacuation
+    ) -> Reply:
+        zone, state = request.zone, self._state
+        is_ordered = zone in state.evacuated_zones or (
+            zone in state.restored_zones
+        )
+        if not is_ordered:
+            is_known = self._knows_zone(zone)
+            if is_known is None:
+                return Reply(call, Code.NOT_LEADING)
+            if not is_known:
+                logger.info("zone unknown", extra={"zone": zone})
+                return Reply(call, Code.UNKNOWN_ZONE)
+        in_force = (
+            state.evacuated_zones
+            if request.is_evacuated
+            else state.restored_zones
+        )
+        # While another change is being committed, the log decides.
+        if zone in in_force and not self._changing_zones[zone]:
+            return Reply(call, Code.DONE)
+        command = EvacuateZone if request.is_evacuated else RestoreZone
+        self._changing_zones[zone] += 1
+        try:
+            await self._propose(command(zone, wall_now()))
+        finally:
+            self._changing_zones[zone] -= 1
+            if not self._changing_zones[zone]:
+                del self._changing_zones[zone]
+        logger.info(
+            "zone evacuated" if request.is_evacuated else "zone restored",
+            extra={
+                "zone": zone,
+                "version": state.version,
+                "evacuated": sorted(state.evacuated_zones),
+            },
+        )
+        return Reply(call, Code.DONE)
+
     def _find_job(self, request) -> Job | Refusal | None:
         found = self._state.routing.find(
             request.host, request.path, request.key
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -82,10 +82,13 @@
         other_pools=(),
         has_machines=False,
         leader_options=None,
+        zones=None,
+        useful_lateness=0.0,
     ):
         self.leader_options = leader_options or {}
         self.advice = advice
         self.commit_seconds = commit_seconds
+        self.useful_lateness = useful_lateness
         # Probability that a pending entry of a deposed leader is committed.
         self.survival_rate = 0.5
         self.pending = []
@@ -102,6 +105,7 @@
 
         async def start():
             self.network = FakeWorkers(seed, seconds_of)
+            self.network.zones = zones or {}
             configuration = make_configuration(
                 limit=limit, advice=advice, other_pools=other_pools
             )
@@ -151,6 +155,7 @@
             MAX_LEASE_SECONDS,
             self.advice,
             **self.leader_options,
+            useful_lateness=self.useful_lateness,
         )
         self.leader.start()
 
@@ -293,6 +298,19 @@
 
         self.run(apply())
 
+    def restore_snapshot(self):
+        """Replace the state by what its snapshot holds, and take over."""
+
+        async def run():
+            if self.leader is not None:
+                self.leader.stop()
+            self.state = ClusterState()
+            self.state.restore(data, index)
+            self.start_term()
+
+        data, index = self.state.encode(), self.state.version
+        self.run(run())
+
     def call(self, function, *arguments):
         async def run():
             return function(*arguments)
--- a/galenarill/coordinator/tests/test_leader.py
+++ b/galenarill/coordinator/tests/test_leader.py
@@ -463,7 +463,7 @@
     network = simulation.network
     real = network.start
 
-    async def lose(worker, order):
+    async def lose(worker, order, timeout_seconds):
         await asyncio.sleep(0.7)
         return OrderAnswer(Verdict.NO_ANSWER)
 
--- a/galenarill/settings/tests/test_settings.py
+++ b/galenarill/settings/tests/test_settings.py
@@ -8,7 +8,12 @@
 from hypothesis import strategies as st
 
 from galenarill.errors import SettingsErrorGroup
-from galenarill.settings import load_process_settings, load_settings
+from galenarill.settings import (
+    NodeSettings,
+    load_process_settings,
+    load_settings,
+    node,
+)
 
 BASE = """
 [pools.render]
@@ -151,3 +156,16 @@
         load_process_settings(path)
     paths = [error.finding.path for error in caught.value.exceptions]
     assert paths == ["vm", "entry_vms", "entry_vms.e1.links"]
+
+
+@pytest.mark.parametrize("value", [0.5, -1, float("nan")])
+def test_a_lateness_that_rejects_jobs_in_time_is_a_finding(value):
+    """Guards against rejections before the objective has passed."""
+    settings = NodeSettings(
+        **dict.fromkeys(("vm", "ip", "availability_zone", "link_secret"), ""),
+        **{"link_port": 1, "metrics_port": 1, "seeds": []},
+        useful_lateness=value,
+    )
+    assert [key for key, _ in node._find_faults(settings)] == [
+        "useful_lateness"
+    ]
