--- a/galenarill/coordinator/endings.py
+++ b/galenarill/coordinator/endings.py
@@ -9,6 +9,8 @@
 from galenarill.coordinator.runs import NO_MACHINE, Phase, TrackedRun
 from galenarill.coordinator.term import TermContext
 from galenarill.jobs import Blame, EndRun, Incarnation, RunOutcome
+from galenarill.placement import estimated_seconds
+from galenarill.pools import OccupancyRatio
 from galenarill.routing import Resources
 from galenarill.telemetry import meter
 from galenarill.workers import EndedRow, WorkerReport, WorkerSession
@@ -32,7 +34,11 @@
 
 
 class RunEndCommitter:
-    """Commits the end of each run once."""
+    """Commits the end of each run once.
+
+    Attributes:
+        occupancy: For how long runs occupy workers, by pool.
+    """
 
     def __init__(
         self,
@@ -41,6 +47,7 @@
         crash_monitor: CrashMonitor,
     ):
         """Create a committer for the term of `context`."""
+        self.occupancy = OccupancyRatio()
         self._context = context
         self._crash_monitor = crash_monitor
         self._progress_monitor = progress_monitor
@@ -65,6 +72,7 @@
             self._progress_monitor.record_failure(run)
         elif how is RunOutcome.DONE:
             self._progress_monitor.record_success(run)
+            self._record_occupancy(run)
         logger.info(
             "run ended",
             extra={
@@ -98,6 +106,16 @@
         finally:
             self._pending_ends.discard(run_id)
 
+    def _record_occupancy(self, run: TrackedRun) -> None:
+        job = self._context.state.jobs.get(run.job)
+        if job is not None and job.queue_settings is not None:
+            self.occupancy.add(
+                job.queue_settings.pool,
+                run.step.reserved.cpu,
+                estimated_seconds(run.step),
+                monotonic_now() - run.ordered_at,
+            )
+
     def is_ending(self, run: TrackedRun) -> bool:
         """Return whether the end of a run is being committed."""
         return _run_id(run) in self._pending_ends
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -45,10 +45,13 @@
 from galenarill.placement import RecentUsage, estimated_seconds, objective_at
 from galenarill.pools import (
     ARRIVAL_SECONDS,
+    MACHINE_ARRIVAL_SECONDS,
     ArrivalRate,
     Machine,
     PoolLoad,
     Work,
+    add_work,
+    scaled,
 )
 from galenarill.routing import Queue, Resources
 from galenarill.telemetry import meter
@@ -78,9 +81,8 @@
 # Time for which an ended job is kept beyond the configured retention, in
 # seconds.
 RETENTION_MARGIN_SECONDS = 30.0
-# Time from the decision to move a machine until its worker accepts starts, in
-# seconds. Most of it is the platform's move.
-MACHINE_ARRIVAL_SECONDS = 2.0
+# Number of the latest jobs of a pool over which their mean work is taken.
+MEAN_WORK_JOBS = 64
 
 
 class Leader(AdmissionPolicy):
@@ -105,6 +107,7 @@
         share_half_life_seconds: float = 0.0,
         timeouts: OrderTimeouts | None = None,
         useful_lateness: float = 0.0,
+        anticipates_bursts: bool = False,
     ):
         """Create the scheduler of a term; `start` starts it.
 
@@ -123,14 +126,19 @@
             timeouts: Timeouts of orders to workers, or None for the defaults.
             useful_lateness: Multiple of its objective for which a job is
                 useful, or 0 to reject none.
+            anticipates_bursts: Whether pools are sized by the backlog and by
+                how long runs occupy workers.
         """
         self._state = state
+        self._anticipates_bursts = anticipates_bursts
         # Jobs that are not done, failed or cancelled.
         self._active_jobs: set[JobId] = set()
         # Completion objective of each active job, in Unix seconds.
         self._objective_at: dict[JobId, float] = {}
         # Work of the jobs that arrived lately, by pool.
-        self._arrivals = ArrivalRate()
+        self._arrivals = ArrivalRate(
+            MEAN_WORK_JOBS if anticipates_bursts else 0
+        )
         # Active jobs that may have ready tasks because time passes.
         self._timed_jobs: set[JobId] = set()
         self._registry = registry
@@ -448,6 +456,23 @@
         now = monotonic_now()
         for pool, load in loads.items():
             load.arriving = self._arrivals.capacity(pool, now)
+            if self._anticipates_bursts:
+                self._add_backlog(load)
+
+    def _add_backlog(self, load: PoolLoad) -> None:
+        """Add the work that waits, and count the occupancy of workers."""
+        ratio = self._end_committer.occupancy.of(load.pool)
+        load.arriving = scaled(load.arriving, ratio)
+        for waiting in self._placer.unplaced.get(load.pool, ()):
+            if waiting.step.is_long_running:
+                continue
+            seconds = ratio * waiting.count * estimated_seconds(waiting.step)
+            need = waiting.step.reserved
+            work = need.cpu * seconds, need.mem_mb * seconds, need.gpu * seconds
+            if waiting.is_late:
+                load.late_work = add_work(load.late_work, work)
+            else:
+                load.waiting_work = add_work(load.waiting_work, work)
 
     def _evacuated_workers(self) -> frozenset[WorkerId]:
         zones = self._state.evacuated_zones
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -23,10 +23,16 @@
     Move,
     PoolLoad,
     PoolMachine,
+    add_work,
+    catch_up_capacity,
+    divide_reserve,
     median_capacity,
     needed_machines,
     plan_moves,
+    scaled,
 )
+from galenarill.pools.plan import TARGET_UTILIZATION
+from galenarill.routing import Resources
 from galenarill.telemetry import meter
 
 __all__ = ["PoolRebalancer"]
@@ -60,6 +66,8 @@
 # Share of the fleet that a pool keeps in reserve. With 8 of 179 machines, jobs
 # are served better than with 3, and fewer moves are needed.
 RESERVE_SHARE = 0.045
+# A pool has a burst while it needs more than this many times the mean reserve.
+BURST_RATIO = 2
 # Minimum machines of a pool while tasks of another pool wait.
 HARD_MIN_MACHINES = 1
 
@@ -67,8 +75,26 @@
 class PoolRebalancer:
     """Moves machines to where tasks wait, and idle ones to spare pools."""
 
-    def __init__(self, leader: Leader, state: ClusterState, fleet: Fleet):
-        """Create a rebalancer of `fleet` for the load of `leader`."""
+    def __init__(
+        self,
+        leader: Leader,
+        state: ClusterState,
+        fleet: Fleet,
+        anticipates_bursts: bool = False,
+    ):
+        """Create a rebalancer of `fleet` for the load of `leader`.
+
+        Args:
+            leader: Scheduler of the term.
+            state: Replicated state.
+            fleet: Machines and orders on them.
+            anticipates_bursts: Whether pools keep more machines in reserve the
+                longer ago their last burst is, and clear their backlog.
+        """
+        self._anticipates_bursts = anticipates_bursts
+        self._began_at = monotonic_now()
+        # When each pool last had a burst, on the monotonic clock.
+        self._burst_at: dict[PoolId, float] = {}
         self._leader = leader
         self._state = state
         self._fleet = fleet
@@ -145,12 +171,13 @@
     def _pool_loads(self, now: float) -> dict[PoolId, PoolLoad]:
         reserve = math.ceil(len(self._fleet.machines) * RESERVE_SHARE)
         soft_minimum = max(SOFT_MIN_MACHINES, reserve)
+        reserves = self._divide_reserve(soft_minimum, now)
         loads = {
             pool.name: PoolLoad(pool.name, hard_minimum=0, is_spare=True)
             if pool.is_spare
             else PoolLoad(
                 pool.name,
-                soft_minimum=soft_minimum,
+                soft_minimum=reserves[pool.name],
                 hard_minimum=HARD_MIN_MACHINES,
             )
             for pool in self._state.routing.configuration.pools
@@ -159,12 +186,62 @@
         self._update_demand(loads, now)
         return loads
 
+    def _divide_reserve(self, mean: int, now: float) -> dict[PoolId, int]:
+        """Return how many machines each pool keeps for new work."""
+        pools = [
+            pool.name
+            for pool in self._state.routing.configuration.pools
+            if not pool.is_spare
+        ]
+        if not self._anticipates_bursts or not pools:
+            return dict.fromkeys(pools, mean)
+        idle_seconds = {
+            pool: now - self._burst_at.get(pool, self._began_at)
+            for pool in pools
+        }
+        return divide_reserve(
+            mean * len(pools), SOFT_MIN_MACHINES, idle_seconds
+        )
+
+    def _update_backlogs(
+        self, loads: dict[PoolId, PoolLoad], capacity: Resources, now: float
+    ) -> None:
+        """Set the capacity that clears the backlog, and note bursts."""
+        evacuated = self._state.evacuated_zones
+        sizes = collections.Counter(
+            self._fleet.pool_of(machine)
+            for machine in self._fleet.machines.values()
+            if not evacuated or self._zone_of(machine) not in evacuated
+        )
+        burst = BURST_RATIO * max(
+            SOFT_MIN_MACHINES,
+            math.ceil(len(self._fleet.machines) * RESERVE_SHARE),
+        )
+        for pool, load in loads.items():
+            if load.is_spare:
+                continue
+            available = scaled(
+                capacity.times(sizes[pool]), TARGET_UTILIZATION
+            ).minus(load.lasting)
+            load.catch_up = catch_up_capacity(
+                load.waiting_work, load.arriving, available
+            )
+            load.late_catch_up = catch_up_capacity(
+                add_work(load.waiting_work, load.late_work),
+                load.arriving,
+                available,
+            )
+            if needed_machines(load, capacity) > burst:
+                self._burst_at[pool] = now
+
     def _update_demand(self, loads: dict[PoolId, PoolLoad], now: float) -> None:
         """Detect surges, and set the demand over the stabilization window."""
         machines = self._fleet.machines.values()
         capacity = median_capacity([machine.capacity for machine in machines])
         if capacity is None:
             return
+        if self._anticipates_bursts:
+            self._update_backlogs(loads, capacity, now)
         surge = math.ceil(len(machines) * SURGE_SHARE)
         for pool, load in loads.items():
             if not load.unplaced:
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -442,6 +442,7 @@
             settings.share_half_life_seconds,
             order_timeouts(settings.order_repeat_ms),
             settings.useful_lateness,
+            settings.anticipates_bursts,
         )
         self._leader.start()
         self._led_since = monotonic_now()
@@ -458,7 +459,9 @@
             self._fleet = fleet
             self._leader.disruptions.watch(fleet)
             self._leader.count_machines(fleet)
-            rebalancer = PoolRebalancer(self._leader, self._state, fleet)
+            rebalancer = PoolRebalancer(
+                self._leader, self._state, fleet, settings.anticipates_bursts
+            )
             wave_runner = WaveRunner(
                 self._leader, self._state, fleet, self._proposals.propose
             )
--- a/galenarill/pools/demand.py
+++ b/galenarill/pools/demand.py
@@ -10,6 +10,7 @@
     "MACHINE_ARRIVAL_SECONDS",
     "NO_WORK",
     "OccupancyRatio",
+    "add_work",
     "catch_up_capacity",
     "scaled",
 ]
@@ -111,6 +112,16 @@
     )
 
 
+def add_work(one: Work, other: Work) -> Work:
+    """Return the sum of two amounts of work.
+
+    Example:
+        >>> add_work((1.0, 0.0, 0.0), (2.0, 5.0, 0.0))
+        (3.0, 5.0, 0.0)
+    """
+    return one[0] + other[0], one[1] + other[1], one[2] + other[2]
+
+
 def scaled(amount: Resources, factor: float) -> Resources:
     """Return an amount of resources times a factor."""
     return Resources(
--- a/galenarill/pools/plan.py
+++ b/galenarill/pools/plan.py
@@ -5,6 +5,8 @@
 from collections.abc import Collection
 
 from galenarill.common import MachineId, PoolId
+from galenarill.pools.arrivals import Work
+from galenarill.pools.demand import NO_WORK
 from galenarill.pools.division import divide_machines
 from galenarill.routing import Resources
 
@@ -49,6 +51,11 @@
         unplaced: Number of tasks that found no worker and whose jobs can still
             meet their objective, without long-running ones.
         waiting_lasting: The part of `waiting` that long-running tasks need.
+        waiting_work: Work of ready tasks without a run whose jobs can still
+            meet their objective, in resources times seconds.
+        late_work: The same for jobs that are late already.
+        catch_up: Capacity that clears `waiting_work`, beyond that for arrivals.
+        late_catch_up: Capacity that clears `late_work`, too.
         recently_needed: Maximum of the needed machines over the last moments;
             other pools get none of these machines.
         peak_needed: The same over a longer time; none of these machines is
@@ -68,6 +75,10 @@
     is_spare: bool = False
     unplaced: int = 0
     waiting_lasting: Resources = dataclasses.field(default_factory=Resources)
+    waiting_work: Work = NO_WORK
+    late_work: Work = NO_WORK
+    catch_up: Resources = dataclasses.field(default_factory=Resources)
+    late_catch_up: Resources = dataclasses.field(default_factory=Resources)
     recently_needed: int = 0
     peak_needed: int = 0
     surge: int = 0
@@ -139,10 +150,12 @@
     if load.is_spare:
         return load.soft_minimum
     total = load.running.plus(load.waiting).plus(load.late)
+    flow = load.lasting.plus(load.arriving).plus(load.late_catch_up)
     return max(
         load.soft_minimum,
         needed_machines(load, capacity),
         _machines_for(total, capacity),
+        _machines_for(flow, capacity),
     )
 
 
@@ -150,8 +163,9 @@
     """Return how many machines of `capacity` a pool's demand requires.
 
     The demand is what runs and what waits and can be in time, or what keeps up
-    with the arrivals of late: at the beginning of a load peak little waits yet,
-    and a machine that is moved only when it does arrives too late.
+    with the arrivals of late and clears the backlog: at the beginning of a load
+    peak little waits yet, and a machine that is moved only when it does arrives
+    too late.
 
     Example:
         >>> load = PoolLoad("p", arriving=Resources(60_000))
@@ -163,7 +177,9 @@
     return max(
         load.surge,
         _machines_for(load.running.plus(load.waiting), capacity),
-        _machines_for(load.lasting.plus(load.arriving), capacity),
+        _machines_for(
+            load.lasting.plus(load.arriving).plus(load.catch_up), capacity
+        ),
     )
 
 
--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -45,6 +45,9 @@
         useful_lateness: Multiple of its objective for which a job's result is
             useful. A job that certainly comes later is rejected; 0 rejects
             none.
+        anticipates_bursts: Whether pools are sized by their backlog and by how
+            long runs occupy workers, and keep more machines in reserve the
+            longer ago their last burst is.
     """
 
     vm: str
@@ -70,6 +73,7 @@
     order_repeat_ms: float = 0.0
     zones: list[str] = dataclasses.field(default_factory=list)
     useful_lateness: float = 0.0
+    anticipates_bursts: bool = False
 
     @property
     def link_address(self) -> VmId:
