Choose the worker whose busy time a task extends least

With best fit alone, short and long tasks share every worker of a pool, so that none becomes idle until the last long task ends, and no machine is free to move when another pool's burst begins.

With the new setting `looks_ahead` of a process (default false), the packer prefers, of the workers that a task fits on, the one whose busy time it extends least in steps of 0.25 s, then the one with the least free CPU. A run's end is expected by its progress, else by its estimate. With the setting off, tasks have no expected end and the order is best fit as before.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -91,6 +91,8 @@
         retention_seconds: float,
         max_lease_seconds: float,
         advice_client: AdviceClient | None = None,
+        *,
+        looks_ahead: bool = False,
     ):
         """Create the scheduler of a term; `start` starts it.
 
@@ -104,6 +106,7 @@
             retention_seconds: How long the status of ended jobs is kept.
             max_lease_seconds: Longest lease that a worker accepts.
             advice_client: Client of the policy service, or None.
+            looks_ahead: Whether placement uses expected ends of runs.
         """
         self._state = state
         # Jobs that are not done, failed or cancelled.
@@ -149,6 +152,7 @@
             self._crash_monitor,
             self._advisor,
             self._disruptions,
+            looks_ahead=looks_ahead,
         )
 
     def start(self) -> None:
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -400,6 +400,7 @@
             settings.keep_job_seconds,
             settings.max_worker_lease_ms / 1000,
             self._advice_client,
+            looks_ahead=settings.looks_ahead,
         )
         self._leader.start()
         if self._machine_client is not None:
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -6,6 +6,7 @@
 import functools
 import itertools
 import logging
+import math
 
 from galenarill.common import (
     JobId,
@@ -44,6 +45,7 @@
     Quota,
     TaskGroup,
     TenantUsage,
+    estimated_seconds,
     make_group,
     place_groups,
 )
@@ -77,6 +79,7 @@
         tenant: Tenant, or "".
         run: Name of the task, and number of the run.
         is_trial: Whether the task may crash its worker.
+        ends_at: Expected end, on the monotonic clock.
     """
 
     worker: WorkerId
@@ -84,6 +87,7 @@
     tenant: TeamId
     run: tuple[str, int]
     is_trial: bool
+    ends_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,9 +118,15 @@
         crash_monitor: CrashMonitor,
         advisor: Advisor,
         disruptions: DisruptionMonitor,
+        *,
+        looks_ahead: bool = False,
     ):
-        """Create a placer for the term of `context`."""
+        """Create a placer for the term of `context`.
+
+        It uses expected ends of runs if `looks_ahead`.
+        """
         self._context = context
+        self._looks_ahead = looks_ahead
         self._disruptions = disruptions
         self._advisor = advisor
         self._run_orders = run_orders
@@ -322,6 +332,7 @@
                 candidate.tenant,
                 (task_name(candidate.job, candidate.key, member), number),
                 is_trial,
+                candidate.ends_at,
             )
             for member, incarnation in placement.members
         ]
@@ -413,8 +424,15 @@
             if job.queue_settings.advice is not None
             else None,
             unsettled if step.is_long_running else frozenset(),
+            self._expected_end(step) if self._looks_ahead else -math.inf,
         )
 
+    def _expected_end(self, step: Step) -> float:
+        """Return when a task will probably end that starts now."""
+        if step.is_long_running:
+            return math.inf
+        return monotonic_now() + estimated_seconds(step)
+
     def _workers_to_avoid(self, job: Job, key: TaskKey) -> frozenset[WorkerId]:
         """Return the workers where a task failed or already has a run.
 
@@ -449,8 +467,12 @@
         now = monotonic_now()
         reserved = self._context.runs.reserved_by_worker
         proposed_by_worker: dict[WorkerId, Resources] = {}
+        proposed_ends: dict[WorkerId, float] = {}
         for _, start in proposed:
             _add(proposed_by_worker, start.worker, start.step.reserved)
+            proposed_ends[start.worker] = max(
+                start.ends_at, proposed_ends.get(start.worker, now)
+            )
         available: dict[PoolId, list[AvailableWorker]] = {}
         for worker, session in self._context.sessions.items():
             report = session.report
@@ -466,9 +488,13 @@
             is_suspect = self._progress_monitor.health.is_quarantined(
                 worker, now
             )
-            available.setdefault(report.pool, []).append(
-                AvailableWorker(report, free, is_suspect)
-            )
+            available_worker = AvailableWorker(report, free, is_suspect)
+            if self._looks_ahead:
+                available_worker.idle_at = max(
+                    self._progress_monitor.idle_at(worker, now),
+                    proposed_ends.get(worker, now),
+                )
+            available.setdefault(report.pool, []).append(available_worker)
         return available
 
     def _accepts_starts(self, session: WorkerSession, now: float) -> bool:
--- a/galenarill/coordinator/progress.py
+++ b/galenarill/coordinator/progress.py
@@ -1,12 +1,14 @@
 """Detects stalled runs and stragglers, and faulty workers behind them."""
 
 import logging
+import math
 import statistics
 
 from galenarill.common import JobId, WorkerId, monotonic_now
 from galenarill.coordinator.runs import Phase, TrackedRun
 from galenarill.coordinator.term import TermContext
 from galenarill.jobs import TaskKey
+from galenarill.placement import estimated_seconds
 from galenarill.workers import RunningRow, RunProgress, WorkerHealth
 
 __all__ = ["ProgressMonitor"]
@@ -23,6 +25,10 @@
 MIN_SIBLINGS = 2
 # Time to stop a run and to start it elsewhere, in seconds.
 RESTART_COST_SECONDS = 0.5
+# Time after which a run is expected to end that is being stopped, or that has
+# outlasted its expected duration, in seconds. About the time until its worker's
+# next answer.
+OVERDUE_SECONDS = 0.25
 
 
 class ProgressMonitor:
@@ -52,6 +58,12 @@
         if run.progress is None:
             run.progress = RunProgress(row.percent, now)
         run.progress.record_reading(row.percent, now)
+        seconds_left = run.progress.remaining_seconds()
+        if seconds_left is not None:
+            run.ends_at = now + seconds_left
+            self._context.runs.idle_at_by_worker.pop(
+                run.incarnation.worker, None
+            )
         if run.phase is not Phase.RUNNING or run.step.is_gang:
             return False
         if run.step.is_long_running and row.percent >= 100:
@@ -85,6 +97,34 @@
             seconds = monotonic_now() - run.phase_since
             self._durations.setdefault(step_key, []).append((worker, seconds))
 
+    def expected_end(self, run: TrackedRun, now: float) -> float:
+        """Return when a run will probably end, on the monotonic clock.
+
+        Never before `now`, and infinity for a long-running run.
+        """
+        if run.phase in (Phase.STOPPING, Phase.STOPPED):
+            return now + OVERDUE_SECONDS
+        if run.step.is_long_running:
+            return math.inf
+        if run.ends_at is None:
+            run.ends_at = run.phase_since + estimated_seconds(run.step)
+        if run.ends_at > now:
+            return run.ends_at
+        return now + OVERDUE_SECONDS
+
+    def idle_at(self, worker: WorkerId, now: float) -> float:
+        """Return when all runs on a worker have probably ended."""
+        cache = self._context.runs.idle_at_by_worker
+        idle_at = cache.get(worker, now)
+        if idle_at <= now:
+            runs = self._context.runs.by_worker.get(worker)
+            if not runs:
+                return now
+            idle_at = cache[worker] = max(
+                self.expected_end(run, now) for run in runs.values()
+            )
+        return idle_at
+
     def forget_job(self, job: JobId) -> None:
         """Drop the records of a job that has ended."""
         for records in (self._durations, self._workers_failed_on):
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -80,6 +80,8 @@
             milliseconds, once the worker is lost.
         blame: Whether it may have crashed the worker that it was lost with.
         machine: Machine of its worker, or "" if unknown. Outlives the session.
+        ends_at: Expected end on the monotonic clock, or None if neither a
+            reading nor an estimate has been used yet.
         is_sole_suspect: Whether it was on probation, none of another job was,
             and it is known to have started.
     """
@@ -112,6 +114,7 @@
     blame: Blame = Blame.NONE
     machine: MachineId = NO_MACHINE
     is_sole_suspect: bool = False
+    ends_at: float | None = None
 
     @property
     def step_key(self) -> tuple[JobId, int, int]:
@@ -140,6 +143,9 @@
         self._by_job: dict[JobId, dict[tuple, TrackedRun]] = {}
         self.reserved_by_worker: dict[WorkerId, Resources] = {}
         self.used_by_tenant: dict[TeamId, Resources] = {}
+        # Expected end of the last run on each worker. An entry is dropped when
+        # a run is added, removed or read.
+        self.idle_at_by_worker: dict[WorkerId, float] = {}
 
     @property
     def jobs(self) -> list[JobId]:
@@ -208,6 +214,7 @@
         worker = run.incarnation.worker
         self.by_worker.setdefault(worker, {})[(run.name, run.number)] = run
         self.by_name[(run.name, run.number)] = run
+        self.idle_at_by_worker.pop(worker, None)
         self.reserved_by_worker[worker] = self.reserved_by_worker.get(
             worker, Resources()
         ).plus(run.step.reserved)
@@ -230,6 +237,7 @@
         worker = run.incarnation.worker
         del self.by_worker[worker][(run.name, run.number)]
         del self.by_name[(run.name, run.number)]
+        self.idle_at_by_worker.pop(worker, None)
         self.reserved_by_worker[worker] = self.reserved_by_worker[worker].minus(
             run.step.reserved
         )
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -2,6 +2,7 @@
 
 import bisect
 import dataclasses
+import math
 from collections.abc import Collection
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
@@ -20,8 +21,13 @@
     "is_eligible",
     "prefer_healthy",
     "assign_workers",
+    "extension_steps",
 ]
 
+# Extensions of a worker's busy time that differ by less count as equal, in
+# seconds. A sixth of the 1.5 s that the move of a machine takes.
+EXTENSION_STEP_SECONDS = 0.25
+
 
 @dataclasses.dataclass(slots=True)
 class Candidate:
@@ -38,6 +44,8 @@
         tickets: Policy tickets by worker that may run it, or None if every
             worker may.
         excluded: Workers that are not used.
+        ends_at: Expected end if it starts now, on the monotonic clock:
+            infinity if it is long-running, negative infinity if unknown.
     """
 
     job: JobId
@@ -49,6 +57,7 @@
     siblings: dict[WorkerId, int] = dataclasses.field(default_factory=dict)
     tickets: dict[WorkerId, str] | None = None
     excluded: frozenset[WorkerId] = frozenset()
+    ends_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,11 +69,14 @@
         free: Unreserved capacity.
         is_suspect: Whether tasks fail or stall on it. It gets no task while
             its pool has a worker that is not suspect.
+        idle_at: When all its runs have probably ended, on the monotonic clock:
+            infinity with a long-running run, the current time if it is idle.
     """
 
     report: WorkerReport
     free: Resources
     is_suspect: bool = False
+    idle_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,9 +135,15 @@
 
 
 class Packer:
-    """Assigns tasks to workers one at a time, by best fit.
-
-    Looks only at workers with enough free CPU, the one with the least first.
+    """Assigns tasks to workers one at a time.
+
+    Of the workers with enough free capacity, the one is chosen whose busy time
+    the task extends least, then the one with the least free CPU (best fit).
+    Best fit alone answers the load of a full pool. The busy time answers the
+    load of a pool whose burst ends: short and long tasks that share each worker
+    keep all of them busy until the last one ends, and no machine is free to
+    move to the pool whose burst begins. Tasks whose end isn't known extend
+    nothing.
     """
 
     def __init__(
@@ -151,12 +169,17 @@
             pool: sorted(map(_sort_entry, members))
             for pool, members in self._available.items()
         }
+        # Time at which the last worker of each pool becomes idle.
+        self._last_idle_at = {
+            pool: max((w.idle_at for w in members), default=-math.inf)
+            for pool, members in self._available.items()
+        }
         # Shapes that fit nowhere. No capacity is released while packing.
         self._exhausted: set[Shape] = set()
 
     def is_exhausted(self, shape: Shape) -> bool:
         """Return whether no worker has capacity for another task of a shape."""
-        return self._find_preferred(shape) is None
+        return self._find_preferred(shape, -math.inf) is None
 
     def allows(self, tenant: TeamId, need: Resources) -> bool:
         """Return whether a tenant's quota allows `need`."""
@@ -170,7 +193,9 @@
         need = step.need.times(count)
         if not self.allows(candidate.tenant, need):
             return None
-        preferred = self._find_preferred(shape_of(candidate.pool, step))
+        preferred = self._find_preferred(
+            shape_of(candidate.pool, step), candidate.ends_at
+        )
         if preferred is None:
             return None
         if (
@@ -190,7 +215,7 @@
             quota.used = quota.used.plus(need)
         members = []
         for member, available_worker in enumerate(workers):
-            self._reserve(candidate.pool, available_worker, step.reserved)
+            self._reserve(candidate, available_worker)
             report = available_worker.report
             worker = report.worker
             candidate.siblings[worker] = candidate.siblings.get(worker, 0) + 1
@@ -203,16 +228,21 @@
             return members
         return [w for w in members if w.report.worker not in self._held]
 
-    def _find_preferred(self, shape: Shape) -> AvailableWorker | None:
+    def _find_preferred(
+        self, shape: Shape, ends_at: float
+    ) -> AvailableWorker | None:
         """Return the preferred worker for a shape, or None if it fits nowhere.
 
-        Prefers the rack that holds the task's data, then the least free CPU.
+        Prefers the rack that holds the task's data, then the smallest extension
+        of the worker's busy time, then the least free CPU.
         """
         if shape in self._exhausted:
             return None
         pool, reserved, label, rack, is_long_running = shape
         entries = self._by_free_cpu.get(pool, [])
-        off_rack = None
+        # No worker is extended less than the last one to become idle.
+        least = extension_steps(ends_at, self._last_idle_at.get(pool, 0.0))
+        best, best_key = None, (True, math.inf)
         for position in range(
             bisect.bisect_left(entries, (reserved.cpu,)), len(entries)
         ):
@@ -225,17 +255,25 @@
                 label and label not in labels
             ):
                 continue
-            if not rack or rack in labels:
+            is_off_rack = bool(rack) and rack not in labels
+            steps = extension_steps(ends_at, available_worker.idle_at)
+            if not is_off_rack and steps <= least:
                 return available_worker
-            if off_rack is None:
-                off_rack = available_worker
-        if off_rack is None:
+            if best is None or (is_off_rack, steps) < best_key:
+                best, best_key = available_worker, (is_off_rack, steps)
+        if best is None:
             self._exhausted.add(shape)
-        return off_rack
+        return best
 
     def _reserve(
-        self, pool: PoolId, available_worker: AvailableWorker, need: Resources
+        self, candidate: Candidate, available_worker: AvailableWorker
     ) -> None:
+        pool, need = candidate.pool, candidate.step.reserved
+        if candidate.ends_at > available_worker.idle_at:
+            available_worker.idle_at = candidate.ends_at
+            self._last_idle_at[pool] = max(
+                self._last_idle_at[pool], candidate.ends_at
+            )
         entries = self._by_free_cpu[pool]
         entry = _sort_entry(available_worker)
         available_worker.free = available_worker.free.minus(need)
@@ -244,6 +282,20 @@
             bisect.insort(entries, _sort_entry(available_worker))
 
 
+def extension_steps(ends_at: float, idle_at: float) -> float:
+    """Return by how many whole steps a task extends a worker's busy time.
+
+    Args:
+        ends_at: Expected end of the task.
+        idle_at: When the worker's runs have probably ended.
+    """
+    if ends_at <= idle_at:
+        return 0.0
+    if ends_at == math.inf:
+        return math.inf
+    return (ends_at - idle_at) // EXTENSION_STEP_SECONDS
+
+
 def _sort_entry(available_worker: AvailableWorker) -> tuple:
     return (
         available_worker.free.cpu,
@@ -343,15 +395,17 @@
 ) -> tuple:
     """Return the sort key of a worker; the smallest key is preferred.
 
-    Prefers the rack that holds the task's data, then the worker with the least
-    free CPU (best fit), which keeps whole machines empty so that they can be
-    moved to another pool or switched off.
+    Prefers the rack that holds the task's data, then the worker whose busy time
+    the task extends least, then the one with the least free CPU (best fit).
+    Both keep whole machines empty so that they can be moved to another pool or
+    switched off.
     """
     report = available_worker.report
     rack = candidate.step.data_rack
     return (
         report.worker in candidate.avoided,
         bool(rack) and rack not in report.labels,
+        extension_steps(candidate.ends_at, available_worker.idle_at),
         available_worker.free.cpu,
         report.worker,
     )
--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -35,6 +35,8 @@
             exclusive right to send orders to a machine.
         max_worker_lease_ms: Longest lease that a worker accepts; a longer one
             is cut to it.
+        looks_ahead: Whether placement takes expected ends of runs into account
+            and reserves capacity for tasks that wait.
     """
 
     vm: str
@@ -56,6 +58,7 @@
     grace_seconds: float = 6.0
     machine_lease_ms: float = 3000.0
     max_worker_lease_ms: float = 10_000.0
+    looks_ahead: bool = False
 
     @property
     def link_address(self) -> VmId:
