Learn durations of tasks by queue and image

Estimates are rough: tasks of one kind differ from theirs by about the same factor, and some run seven times as long. Expected ends from estimates alone are off until a run shows progress.

A run that outlasts its expected end is expected to end at the 95% quantile.

--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -414,6 +414,7 @@
         _VERSION.set(self._state.routing.configuration.version)
         for tenant, used in self.runs.used_by_tenant.items():
             _TENANT_CPU.set(used.cpu, {"tenant": tenant})
+        self._progress_monitor.durations.forget_old(monotonic_now())
         if self._context.has_leader_lease():
             self._forget_old_jobs()
         await asyncio.sleep(HOUSEKEEPING_SECONDS)
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -45,7 +45,7 @@
     Quota,
     TaskGroup,
     TenantUsage,
-    estimated_seconds,
+    duration_key,
     make_group,
     place_groups,
 )
@@ -424,14 +424,19 @@
             if job.queue_settings.advice is not None
             else None,
             unsettled if step.is_long_running else frozenset(),
-            self._expected_end(step) if self._looks_ahead else -math.inf,
+            self._expected_end(job, step) if self._looks_ahead else -math.inf,
         )
 
-    def _expected_end(self, step: Step) -> float:
+    def _expected_end(self, job: Job, step: Step) -> float:
         """Return when a task will probably end that starts now."""
         if step.is_long_running:
             return math.inf
-        return monotonic_now() + estimated_seconds(step)
+        return (
+            monotonic_now()
+            + self._progress_monitor.durations.expected_seconds(
+                duration_key(job, step), step
+            )
+        )
 
     def _workers_to_avoid(self, job: Job, key: TaskKey) -> frozenset[WorkerId]:
         """Return the workers where a task failed or already has a run.
--- a/galenarill/coordinator/progress.py
+++ b/galenarill/coordinator/progress.py
@@ -8,7 +8,7 @@
 from galenarill.coordinator.runs import Phase, TrackedRun
 from galenarill.coordinator.term import TermContext
 from galenarill.jobs import TaskKey
-from galenarill.placement import estimated_seconds
+from galenarill.placement import DurationKey, DurationModel, duration_key
 from galenarill.workers import RunningRow, RunProgress, WorkerHealth
 
 __all__ = ["ProgressMonitor"]
@@ -38,6 +38,7 @@
         """Create a monitor for the runs of `context`."""
         self._context = context
         self.health = WorkerHealth()
+        self.durations = DurationModel()
         # Worker and duration in seconds of finished tasks, by step.
         self._durations: dict[tuple, list[tuple[WorkerId, float]]] = {}
         # Workers on which a task failed or stalled. It is retried elsewhere.
@@ -94,8 +95,12 @@
         self.health.record_success(worker)
         if run.covers_whole_task:
             step_key = (run.job, *run.key[:2])
-            seconds = monotonic_now() - run.phase_since
+            now = monotonic_now()
+            seconds = now - run.phase_since
             self._durations.setdefault(step_key, []).append((worker, seconds))
+            self.durations.record(
+                self._duration_key(run), run.step, seconds, now
+            )
 
     def expected_end(self, run: TrackedRun, now: float) -> float:
         """Return when a run will probably end, on the monotonic clock.
@@ -107,10 +112,16 @@
         if run.step.is_long_running:
             return math.inf
         if run.ends_at is None:
-            run.ends_at = run.phase_since + estimated_seconds(run.step)
-        if run.ends_at > now:
-            return run.ends_at
-        return now + OVERDUE_SECONDS
+            run.ends_at = run.phase_since + self.durations.expected_seconds(
+                self._duration_key(run), run.step
+            )
+        if run.ends_at <= now:
+            # It has outlasted what is expected of most.
+            _, longest = self.durations.bounds_seconds(
+                self._duration_key(run), run.step
+            )
+            run.ends_at = max(run.phase_since + longest, now + OVERDUE_SECONDS)
+        return run.ends_at
 
     def idle_at(self, worker: WorkerId, now: float) -> float:
         """Return when all runs on a worker have probably ended."""
@@ -131,6 +142,9 @@
             for key in [key for key in records if key[0] == job]:
                 del records[key]
 
+    def _duration_key(self, run: TrackedRun) -> DurationKey:
+        return duration_key(self._context.state.jobs[run.job], run.step)
+
     def _record_stall(self, run: TrackedRun) -> None:
         logger.info(
             "run stalled",
--- a/galenarill/placement/__init__.py
+++ b/galenarill/placement/__init__.py
@@ -1,6 +1,7 @@
 """Task scheduling: order, fair sharing, bin packing and preemption."""
 
 from galenarill.placement.backlog import *  # noqa: F403
+from galenarill.placement.durations import *  # noqa: F403
 from galenarill.placement.holding import *  # noqa: F403
 from galenarill.placement.order import *  # noqa: F403
 from galenarill.placement.plan import *  # noqa: F403
