Reserve capacity for tasks that have waited

Small tasks take each piece of capacity as soon as it is free, so a task that needs most of a worker waits for as long as they arrive.

With `looks_ahead`, tasks of the first eight of a pool that have found no worker for 0.5 s (long-running ones for 2 s) get a reservation on the worker on which they fit earliest, by the expected ends of its runs; a gang gets all its workers at one time. Another task is placed there if it ends before the reservation begins, or fits beside it. Reservations of a pool are chosen anew after 0.1 s, and at once when a worker no longer accepts starts or a task no longer waits. With the setting off, workers are held as before; that class is kept, since it holds a whole worker whatever ends there, which no reservation does.

--- a/galenarill/coordinator/advice_requests.py
+++ b/galenarill/coordinator/advice_requests.py
@@ -4,7 +4,7 @@
 
 from galenarill.common import PoolId
 from galenarill.coordinator.advisor import Advisor
-from galenarill.coordinator.holding import WorkerHolds
+from galenarill.coordinator.holding import CapacityKeeper
 from galenarill.coordinator.preempting import Preemptor
 from galenarill.coordinator.term import TermContext
 from galenarill.jobs import GANG, TaskKey
@@ -27,13 +27,13 @@
         context: TermContext,
         advisor: Advisor,
         preemptor: Preemptor,
-        worker_holds: WorkerHolds,
+        capacity_keeper: CapacityKeeper,
     ):
         """Create requests to `advisor` in the term of `context`."""
         self._context = context
         self._advisor = advisor
         self._preemptor = preemptor
-        self._worker_holds = worker_holds
+        self._capacity_keeper = capacity_keeper
 
     def send(
         self,
@@ -56,7 +56,7 @@
                 group.job, key
             ):
                 continue
-            members = self._worker_holds.usable_by(
+            members = self._capacity_keeper.usable_by(
                 group.step, prefer_healthy(available.get(group.pool, []))
             )
             with_room = [w for w in members if group.step.reserved.fits(w.free)]
--- a/galenarill/coordinator/holding.py
+++ b/galenarill/coordinator/holding.py
@@ -1,33 +1,123 @@
-"""Workers that are held for long-running tasks."""
+"""Capacity that is kept for tasks that have waited for a while."""
 
+import abc
+import dataclasses
 import logging
 from collections.abc import Callable
 
-from galenarill.common import JobId, PoolId, WorkerId, monotonic_now
+from galenarill.common import (
+    JobId,
+    PoolId,
+    TeamId,
+    WorkerId,
+    monotonic_now,
+    wall_now,
+)
+from galenarill.coordinator.progress import ProgressMonitor
 from galenarill.coordinator.term import TermContext
 from galenarill.coordinator.turns import Turns
 from galenarill.jobs import Step, TaskKey
 from galenarill.placement import (
     AvailableWorker,
     Candidate,
+    ExpectedRelease,
+    Horizon,
+    Quota,
+    Reservation,
+    ReservationBook,
+    StepId,
     TaskGroup,
+    TenantUsage,
+    choose_reservations,
     choose_workers_to_hold,
 )
 from galenarill.routing import Resources
+from galenarill.telemetry import meter
 
-__all__ = ["WorkerHolds"]
+__all__ = ["CapacityKeeper", "WorkerHolds", "WorkerReservations"]
 
 logger = logging.getLogger(__name__)
 
+_RESERVED_WORKERS = meter().create_gauge("galenarill_reserved_workers")
+
 # Time that a long-running task waits before a worker is held for it, in
 # seconds.
 # Longer than most finite tasks run, and than a machine takes to move.
 HOLD_DELAY_SECONDS = 2.0
 # Most workers that are held at a time.
 MAX_HELD_WORKERS = 8
+# Time that a finite task waits before capacity is reserved for it, in seconds.
+# About the time in which a preemption or an arriving machine helps.
+RESERVATION_DELAY_SECONDS = 0.5
+# Most tasks of a pool with a reservation.
+MAX_RESERVED_TASKS = 8
+# Time for which the reservations of a pool are kept while its workers accept
+# starts and the tasks wait, in seconds. Bounds the cost with all pools full,
+# and is shorter than the time between two readings of progress.
+RESERVATION_SECONDS = 0.1
+
+
+class CapacityKeeper(abc.ABC):
+    """Keeps capacity for tasks that have found no worker for some time."""
+
+    @property
+    @abc.abstractmethod
+    def workers(self) -> frozenset[WorkerId]:
+        """Workers that get long-running tasks only."""
+
+    @abc.abstractmethod
+    def usable_by(
+        self, step: Step, members: list[AvailableWorker]
+    ) -> list[AvailableWorker]:
+        """Return the workers that tasks of a step may use."""
+
+    @abc.abstractmethod
+    def clear(self) -> None:
+        """Keep no capacity, because no task waits."""
+
+    @abc.abstractmethod
+    def reserve(self, facts: "PlacementFacts") -> ReservationBook | None:
+        """Return the reservations for a round, before its placements."""
+
+    @abc.abstractmethod
+    def update(
+        self,
+        waiting: list[TaskGroup],
+        make_candidate: Callable[[TaskGroup, TaskKey], Candidate],
+        available: dict[PoolId, list[AvailableWorker]],
+    ) -> None:
+        """Record the tasks that found no worker in a round.
+
+        Args:
+            waiting: Groups of these tasks.
+            make_candidate: Returns the candidate for a task of a group.
+            available: Workers that accept starts, by pool.
+        """
 
 
-class WorkerHolds:
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementFacts:
+    """What reservations depend on in one round.
+
+    Attributes:
+        groups: Groups of ready tasks, without suspects.
+        available: Workers that accept starts, by pool.
+        quotas: Upper limit and usage of each tenant.
+        usage: Usage of the tenants.
+        proposed: Expected releases of starts that are not in the state yet, by
+            worker.
+        make_candidate: Returns the candidate for a task of a group.
+    """
+
+    groups: list[TaskGroup]
+    available: dict[PoolId, list[AvailableWorker]]
+    quotas: dict[TeamId, Quota]
+    usage: TenantUsage
+    proposed: dict[WorkerId, list[ExpectedRelease]]
+    make_candidate: Callable[[TaskGroup, TaskKey], Candidate]
+
+
+class WorkerHolds(CapacityKeeper):
     """Keeps finite tasks off workers until a waiting long-running task fits."""
 
     def __init__(self, context: TermContext):
@@ -57,6 +147,10 @@
         """Hold no workers, because no task waits."""
         self._waiting_since, self._held = {}, {}
 
+    def reserve(self, facts: PlacementFacts) -> ReservationBook | None:
+        """Return None: whole workers are held instead."""
+        return None
+
     def update(
         self,
         waiting: list[TaskGroup],
@@ -131,3 +225,212 @@
             if not run.step.is_long_running:
                 total = total.plus(run.step.reserved)
         return total
+
+
+@dataclasses.dataclass(slots=True)
+class _PoolReservations:
+    """Reservations in one pool.
+
+    Attributes:
+        reservations: Reservations, in the order in which they were made.
+        expires_at: When they are chosen anew, on the monotonic clock.
+    """
+
+    reservations: list[Reservation]
+    expires_at: float
+
+
+class WorkerReservations(CapacityKeeper):
+    """Reserves capacity where tasks that have waited fit earliest.
+
+    Nothing outlives the facts that it was chosen for: the reservations of a
+    pool are chosen anew after `RESERVATION_SECONDS`, and at once if a worker
+    no longer accepts starts or a task no longer waits.
+    """
+
+    def __init__(self, context: TermContext, progress_monitor: ProgressMonitor):
+        """Reserve nothing in the term of `context`."""
+        self._context = context
+        self._progress_monitor = progress_monitor
+        # Since when tasks of each step have found no worker.
+        self._waiting_since: dict[StepId, float] = {}
+        self._pools: dict[PoolId, _PoolReservations] = {}
+        self._turns: dict[PoolId, Turns] = {}
+        # Reservations of the latest round, less those that it used.
+        self._book = ReservationBook()
+        # Worker of each reservation that has been logged.
+        self._logged: set[tuple[StepId, WorkerId]] = set()
+
+    @property
+    def workers(self) -> frozenset[WorkerId]:
+        """No workers: other tasks may use what isn't reserved."""
+        return frozenset()
+
+    def usable_by(
+        self, step: Step, members: list[AvailableWorker]
+    ) -> list[AvailableWorker]:
+        """Return all workers."""
+        return members
+
+    def clear(self) -> None:
+        """Reserve nothing, because no task waits."""
+        self._waiting_since, self._pools, self._turns = {}, {}, {}
+        self._log([])
+
+    def update(
+        self,
+        waiting: list[TaskGroup],
+        make_candidate: Callable[[TaskGroup, TaskKey], Candidate],
+        available: dict[PoolId, list[AvailableWorker]],
+    ) -> None:
+        """Record since when tasks have found no worker."""
+        now = monotonic_now()
+        since = self._waiting_since
+        self._waiting_since = {
+            step_id: since.get(step_id, now)
+            for step_id in (group.step_id for group in waiting)
+        }
+
+    def reserve(self, facts: PlacementFacts) -> ReservationBook | None:
+        """Return the reservations for a round, before its placements."""
+        now = monotonic_now()
+        overdue: dict[PoolId, list[TaskGroup]] = {}
+        for group in facts.groups:
+            if self._is_overdue(group, now) and _is_allowed(group, facts):
+                overdue.setdefault(group.pool, []).append(group)
+        self._pools = {
+            pool: self._keep_or_choose(pool, groups, facts, now)
+            for pool, groups in overdue.items()
+        }
+        self._turns = {
+            pool: turns
+            for pool, turns in self._turns.items()
+            if pool in self._pools
+        }
+        reservations = [
+            reservation
+            for chosen in self._pools.values()
+            for reservation in chosen.reservations
+        ]
+        self._log(reservations)
+        self._book = ReservationBook(reservations)
+        return self._book
+
+    def _is_overdue(self, group: TaskGroup, now: float) -> bool:
+        since = self._waiting_since.get(group.step_id)
+        delay = (
+            HOLD_DELAY_SECONDS
+            if group.step.is_long_running
+            else RESERVATION_DELAY_SECONDS
+        )
+        return since is not None and now >= since + delay
+
+    def _keep_or_choose(
+        self,
+        pool: PoolId,
+        groups: list[TaskGroup],
+        facts: PlacementFacts,
+        now: float,
+    ) -> _PoolReservations:
+        """Return the reservations of a pool with overdue groups."""
+        known = self._pools.get(pool)
+        members = facts.available.get(pool, [])
+        if known is not None and now < known.expires_at:
+            known.reservations = [
+                reservation
+                for reservation in known.reservations
+                if reservation in self._book
+            ]
+            workers = {w.report.worker for w in members}
+            owners = {group.step_id for group in groups}
+            if all(
+                reservation.worker in workers and reservation.owner in owners
+                for reservation in known.reservations
+            ):
+                return known
+        wall_time = wall_now()
+        owners = {owner for owner, _ in self._logged}
+        groups.sort(
+            key=lambda group: _order(group, owners, facts.usage, wall_time)
+        )
+        turns = self._turns.setdefault(pool, Turns(MAX_RESERVED_TASKS))
+        by_id = {group.step_id: group for group in groups}
+        taken = turns.take(by_id)
+        candidates = [
+            facts.make_candidate(by_id[step_id], key)
+            for step_id in taken
+            for key in by_id[step_id].keys[:MAX_RESERVED_TASKS]
+        ][:MAX_RESERVED_TASKS]
+        chosen = choose_reservations(
+            candidates,
+            {pool: members},
+            Horizon(now, lambda worker: self._releases(worker, facts, now)),
+            self._logged,
+        )
+        helped = {reservation.owner for reservation in chosen}
+        for step_id in {candidate.step_id for candidate in candidates} - helped:
+            turns.pass_over(step_id)
+        return _PoolReservations(chosen, now + RESERVATION_SECONDS)
+
+    def _releases(
+        self, worker: WorkerId, facts: PlacementFacts, now: float
+    ) -> list[ExpectedRelease]:
+        """Return what the finite runs of a worker will release."""
+        releases = list(facts.proposed.get(worker, ()))
+        for run in self._context.runs.on_worker(worker):
+            if not run.step.is_long_running:
+                ends_at = self._progress_monitor.expected_end(run, now)
+                releases.append((ends_at, run.step.reserved))
+        return releases
+
+    def _log(self, reservations: list[Reservation]) -> None:
+        """Log reservations that are new, and set the gauge."""
+        now = monotonic_now()
+        pairs = set()
+        for reservation in reservations:
+            pair = reservation.owner, reservation.worker
+            pairs.add(pair)
+            if pair not in self._logged:
+                job_id, occurrence, step = reservation.owner
+                logger.info(
+                    "worker reserved",
+                    extra={
+                        "job": job_id,
+                        "task": [occurrence, step],
+                        "worker": reservation.worker,
+                        "seconds": round(reservation.begins_at - now, 3),
+                        "cpu": reservation.need.cpu,
+                        "spare_cpu": reservation.spare.cpu,
+                    },
+                )
+        if pairs != self._logged:
+            self._logged = pairs
+            _RESERVED_WORKERS.set(len({worker for _, worker in pairs}))
+
+
+def _is_allowed(group: TaskGroup, facts: PlacementFacts) -> bool:
+    """Return whether the tenant's quota allows another task of a group."""
+    quota = facts.quotas.get(group.tenant)
+    return quota is None or quota.allows(group.step.need)
+
+
+def _order(
+    group: TaskGroup,
+    owners: set[StepId],
+    usage: TenantUsage,
+    wall_time: float,
+) -> tuple:
+    """Return the sort key of a group; the smallest gets a reservation first.
+
+    In a rank class, a step that has a reservation comes before the others, so
+    that tasks that arrive later don't take it. Late tasks don't keep theirs
+    from tasks in time: under overload, the first eight late ones would take
+    most of a pool. Tenants share the capacity of a class.
+    """
+    rank = group.rank(wall_time)
+    return (
+        *rank[:2],
+        group.step_id not in owners,
+        usage.weighted_share(group.tenant),
+        rank[2:],
+    )
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -22,7 +22,11 @@
 from galenarill.coordinator.cordons import CordonReason, Cordons
 from galenarill.coordinator.crashes import CrashMonitor
 from galenarill.coordinator.disruptions import DisruptionMonitor
-from galenarill.coordinator.holding import WorkerHolds
+from galenarill.coordinator.holding import (
+    PlacementFacts,
+    WorkerHolds,
+    WorkerReservations,
+)
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.preempting import Preemptor
 from galenarill.coordinator.progress import ProgressMonitor
@@ -40,6 +44,7 @@
 from galenarill.placement import (
     AvailableWorker,
     Candidate,
+    ExpectedRelease,
     Packer,
     Placement,
     Quota,
@@ -134,9 +139,13 @@
         self._crash_monitor = crash_monitor
         self._preemptor = Preemptor(context, run_orders)
         self._trial_placer = TrialPlacer(crash_monitor)
-        self._worker_holds = WorkerHolds(context)
+        self._capacity_keeper = (
+            WorkerReservations(context, progress_monitor)
+            if looks_ahead
+            else WorkerHolds(context)
+        )
         self._advice_requests = AdviceRequests(
-            context, advisor, self._preemptor, self._worker_holds
+            context, advisor, self._preemptor, self._capacity_keeper
         )
         # Ready tasks without a proposed start, by job.
         self._groups: dict[JobId, list[TaskGroup]] = {}
@@ -202,12 +211,24 @@
             if (job.id, key) not in self._proposed
             and self._crash_monitor.may_start(job.id, key)
         }
-        return [
+        groups = [
             make_group(job, queue, list(members), is_trial)
             for (*_, is_trial), members in itertools.groupby(
                 sorted(kinds, key=lambda key: (kinds[key], key)), kinds.get
             )
         ]
+        if self._looks_ahead:
+            for group in groups:
+                group.expected_seconds = self._expected_seconds(job, group.step)
+        return groups
+
+    def _expected_seconds(self, job: Job, step: Step) -> float:
+        """Return how long a task will probably run."""
+        if step.is_long_running:
+            return math.inf
+        return self._progress_monitor.durations.expected_seconds(
+            duration_key(job, step), step
+        )
 
     def _tasks_to_copy(self, job: Job) -> list[TaskKey]:
         """Return tasks that need a speculative copy."""
@@ -237,7 +258,7 @@
             self._refresh_all_jobs()
         self.unplaced = {}
         if not self._groups:
-            self._worker_holds.clear()
+            self._capacity_keeper.clear()
             return
         groups = [group for job in self._groups.values() for group in job]
         proposed = self._uncommitted_starts()
@@ -245,7 +266,7 @@
             {group.pool for group in groups}, proposed
         )
         usage, quotas = self._tenant_usage(proposed)
-        wall_time = wall_now()
+        wall_time, now = wall_now(), monotonic_now()
         # Number of tasks on each worker, by job, occurrence and step.
         step_tasks_by_worker: dict[tuple, dict[WorkerId, int]] = {}
         unsettled = (
@@ -258,8 +279,9 @@
             unsettled=unsettled,
             step_tasks_by_worker=step_tasks_by_worker,
             proposed=proposed,
+            now=now,
         )
-        held = self._worker_holds.workers
+        held = self._capacity_keeper.workers
         placements = self._trial_placer.place(
             groups,
             available,
@@ -273,9 +295,21 @@
                 placement.candidate.tenant,
                 placement.candidate.step.need.times(len(placement.members)),
             )
+        others = [group for group in groups if not group.is_trial]
+        releases: dict[WorkerId, list[ExpectedRelease]] = {}
+        for _, start in proposed:
+            if start.ends_at < math.inf:
+                releases.setdefault(start.worker, []).append(
+                    (start.ends_at, start.step.reserved)
+                )
+        reservations = self._capacity_keeper.reserve(
+            PlacementFacts(
+                others, available, quotas, usage, releases, make_candidate
+            )
+        )
         placements += place_groups(
-            [group for group in groups if not group.is_trial],
-            Packer(available, quotas, held),
+            others,
+            Packer(available, quotas, held, reservations, now),
             usage,
             wall_time,
             make_candidate,
@@ -297,7 +331,7 @@
             available,
             quotas,
         )
-        self._worker_holds.update(waiting, make_candidate, available)
+        self._capacity_keeper.update(waiting, make_candidate, available)
         if placements:
             self._start(placements, sum(len(group.keys) for group in waiting))
 
@@ -405,6 +439,7 @@
         unsettled: frozenset[WorkerId],
         step_tasks_by_worker: dict,
         proposed: list,
+        now: float,
     ) -> Candidate:
         step, job = group.step, self._context.state.jobs[group.job]
         step_key = (group.job, *key[:2])
@@ -424,18 +459,7 @@
             if job.queue_settings.advice is not None
             else None,
             unsettled if step.is_long_running else frozenset(),
-            self._expected_end(job, step) if self._looks_ahead else -math.inf,
-        )
-
-    def _expected_end(self, job: Job, step: Step) -> float:
-        """Return when a task will probably end that starts now."""
-        if step.is_long_running:
-            return math.inf
-        return (
-            monotonic_now()
-            + self._progress_monitor.durations.expected_seconds(
-                duration_key(job, step), step
-            )
+            now + group.expected_seconds,
         )
 
     def _workers_to_avoid(self, job: Job, key: TaskKey) -> frozenset[WorkerId]:
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -81,7 +81,9 @@
         advice=None,
         other_pools=(),
         has_machines=False,
+        looks_ahead=False,
     ):
+        self.looks_ahead = looks_ahead
         self.advice = advice
         self.commit_seconds = commit_seconds
         # Probability that a pending entry of a deposed leader is committed.
@@ -148,6 +150,7 @@
             120.0,
             MAX_LEASE_SECONDS,
             self.advice,
+            looks_ahead=self.looks_ahead,
         )
         self.leader.start()
 
--- /dev/null
+++ b/galenarill/coordinator/tests/test_reservations.py
@@ -0,0 +1,113 @@
+"""The leader reserves capacity for tasks that have waited."""
+
+import pytest
+
+from galenarill.coordinator.cordons import CordonReason
+from galenarill.coordinator.tests.simulation import Simulation
+from galenarill.jobs import JobStatus, Step
+from galenarill.routing import Resources
+
+LARGE = Step(1, Resources(4), estimate_ms=1000)
+# Time within which a large task starts in seconds: its delay, the longest
+# running task, a commit and some rounds.
+BOUND_SECONDS = 0.5 + 1.0 + 0.4
+
+
+@pytest.fixture
+def simulation():
+    made = Simulation(workers=3, has_machines=True, looks_ahead=True)
+    made.numbers = iter(range(10_000))
+    yield made
+    made.close()
+
+
+def submit_small(simulation, seconds, interval=0.1):
+    """Submit small tasks, by default for ten of twelve cores."""
+    end = simulation.loop.time() + seconds
+    while simulation.loop.time() < end:
+        simulation.submit(f"s{next(simulation.numbers)}", 1, estimate_ms=1000)
+        simulation.advance(interval)
+
+
+def reserved(simulation):
+    """Return the worker reserved for the large task, or None."""
+    return {
+        owner[0]: worker
+        for owner, worker in simulation.leader._placer._capacity_keeper._logged
+    }.get("large")
+
+
+def wait_for_reservation(simulation):
+    submit_small(simulation, 2)
+    simulation.submit_step("large", LARGE)
+    submit_small(simulation, 0.7)
+    assert reserved(simulation)
+    return reserved(simulation)
+
+
+def started(simulation):
+    return [b for b in simulation.network.history if b.task == "large.0.0.0"]
+
+
+def test_a_large_task_starts_within_the_bound(simulation, caplog):
+    caplog.set_level("INFO")
+    wait_for_reservation(simulation)
+    submit_small(simulation, BOUND_SECONDS - 0.7)
+    assert started(simulation)
+    assert "worker reserved" in caplog.text
+
+
+def test_without_reservations_small_tasks_take_each_gap():
+    """Shows that the load of the test above needs a reservation."""
+    simulation = Simulation(workers=3)
+    simulation.numbers = iter(range(10_000))
+    submit_small(simulation, 2)
+    simulation.submit_step("large", LARGE)
+    submit_small(simulation, BOUND_SECONDS)
+    assert not started(simulation)
+    simulation.close()
+
+
+@pytest.mark.parametrize("loss", ["crash", "drain", "cordon"])
+def test_the_reservation_moves_from_a_worker_that_gets_no_starts(
+    simulation, loss
+):
+    name = wait_for_reservation(simulation)
+    if loss == "crash":
+        simulation.call(simulation.network.workers[f"{name}:1"].crash)
+        # Time after which a silent worker gets no more starts.
+        submit_small(simulation, 2.5, 0.2)
+    elif loss == "drain":
+        report = simulation.network.workers[f"{name}:1"].report
+        simulation.state.draining[name] = report.born
+        submit_small(simulation, 0.1)
+    else:
+        machine = simulation.leader.sessions[name].report.machine
+        simulation.call(simulation.leader.cordon, machine, CordonReason.RELEASE)
+        submit_small(simulation, 0.1)
+    assert reserved(simulation) != name
+    submit_small(simulation, BOUND_SECONDS, 0.2)
+    assert [begun.worker for begun in started(simulation)] != [name]
+    assert started(simulation)
+
+
+def test_a_cancelled_job_leaves_no_reservation(simulation):
+    wait_for_reservation(simulation)
+    simulation.cancel("large")
+    submit_small(simulation, 0.15)
+    assert reserved(simulation) is None
+    simulation.advance(8)
+    assert all(
+        job.status is JobStatus.COMPLETED
+        for job_id, job in simulation.state.jobs.items()
+        if job_id != "large"
+    )
+
+
+def test_the_next_leader_reserves_anew(simulation):
+    wait_for_reservation(simulation)
+    simulation.take_over()
+    assert reserved(simulation) is None
+    submit_small(simulation, BOUND_SECONDS + 0.5)
+    assert started(simulation)
+    simulation.check()
--- a/galenarill/placement/backlog.py
+++ b/galenarill/placement/backlog.py
@@ -3,6 +3,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 from collections.abc import Callable, Iterable
 
 from galenarill.common import JobId, PoolId, TeamId
@@ -15,6 +16,7 @@
     Shape,
     shape_of,
 )
+from galenarill.placement.reservation_book import StepId
 from galenarill.placement.shares import TenantUsage
 from galenarill.routing import Queue
 
@@ -39,6 +41,8 @@
         keys: Keys of the tasks that still wait.
         is_trial: Whether the tasks may crash their workers, so that each has
             to be started apart from the others.
+        expected_seconds: Expected duration of each task: infinity if it is
+            long-running, negative infinity if durations aren't used.
     """
 
     job: JobId
@@ -52,6 +56,12 @@
     latest_start_at: float
     keys: list[TaskKey]
     is_trial: bool = False
+    expected_seconds: float = -math.inf
+
+    @property
+    def step_id(self) -> StepId:
+        """Job, occurrence and number of the step of the waiting tasks."""
+        return self.job, self.keys[0].occurrence, self.keys[0].step
 
     def is_late(self, wall_time: float) -> bool:
         """Return whether the job can no longer meet its objective."""
@@ -131,7 +141,9 @@
         (
             (group.rank(wall_time), group)
             for group in groups
-            if not packer.is_exhausted(group.shape)
+            if not packer.is_exhausted(
+                group.shape, group.expected_seconds, group.step_id
+            )
         ),
         key=lambda entry: entry[0],
     )
@@ -173,7 +185,9 @@
             rank, group, keys = entries[-1]
             if (
                 not keys
-                or packer.is_exhausted(group.shape)
+                or packer.is_exhausted(
+                    group.shape, group.expected_seconds, group.step_id
+                )
                 or not packer.allows(group.tenant, group.step.need)
             ):
                 entries.pop()
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -7,6 +7,7 @@
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
 from galenarill.jobs import GANG, Incarnation, Step, TaskKey
+from galenarill.placement.reservation_book import ReservationBook, StepId
 from galenarill.routing import Resources
 from galenarill.workers import WorkerReport
 
@@ -59,6 +60,11 @@
     excluded: frozenset[WorkerId] = frozenset()
     ends_at: float = -math.inf
 
+    @property
+    def step_id(self) -> StepId:
+        """Job, occurrence and number of the step."""
+        return self.job, self.key.occurrence, self.key.step
+
 
 @dataclasses.dataclass(slots=True)
 class AvailableWorker:
@@ -151,6 +157,8 @@
         available: dict[PoolId, list[AvailableWorker]],
         quotas: dict[TeamId, Quota],
         held: Collection[WorkerId] = (),
+        reservations: ReservationBook | None = None,
+        now: float = 0.0,
     ):
         """Create a packer; placing updates `available` and `quotas`.
 
@@ -158,8 +166,12 @@
             available: Workers by pool.
             quotas: Quotas by tenant. A tenant without an entry has no limit.
             held: Workers that get long-running tasks only.
+            reservations: Reservations for waiting tasks; placing updates them.
+            now: Time on the monotonic clock.
         """
         self._held = held
+        self._reservations = reservations or None
+        self._now = now
         self._available = {
             pool: prefer_healthy(members) for pool, members in available.items()
         }
@@ -176,10 +188,30 @@
         }
         # Shapes that fit nowhere. No capacity is released while packing.
         self._exhausted: set[Shape] = set()
+        # Earliest end of tasks of a shape that only reservations exclude. Tasks
+        # that end later are excluded, too.
+        self._excluded_from: dict[Shape, float] = {}
 
-    def is_exhausted(self, shape: Shape) -> bool:
-        """Return whether no worker has capacity for another task of a shape."""
-        return self._find_preferred(shape, -math.inf) is None
+    def is_exhausted(
+        self,
+        shape: Shape,
+        seconds: float = -math.inf,
+        owner: StepId | None = None,
+    ) -> bool:
+        """Return whether no worker has capacity for another task of a shape.
+
+        Args:
+            shape: Shape of the task.
+            seconds: Expected duration, or negative infinity if unknown.
+            owner: Step of the task, which may have reservations.
+        """
+        if shape in self._exhausted:
+            return True
+        ends_at = self._now + seconds
+        return (
+            self._find_preferred(shape, ends_at, owner, accepts_any=True)
+            is None
+        )
 
     def allows(self, tenant: TeamId, need: Resources) -> bool:
         """Return whether a tenant's quota allows `need`."""
@@ -194,7 +226,7 @@
         if not self.allows(candidate.tenant, need):
             return None
         preferred = self._find_preferred(
-            shape_of(candidate.pool, step), candidate.ends_at
+            shape_of(candidate.pool, step), candidate.ends_at, candidate.step_id
         )
         if preferred is None:
             return None
@@ -207,7 +239,9 @@
         ):
             workers = [preferred]
         else:
-            workers = assign_workers(candidate, count, self._members(candidate))
+            workers = assign_workers(
+                candidate, count, self._members(candidate, count)
+            )
         if workers is None:
             return None
         quota = self._quotas.get(candidate.tenant)
@@ -220,29 +254,65 @@
             worker = report.worker
             candidate.siblings[worker] = candidate.siblings.get(worker, 0) + 1
             members.append((member, Incarnation(worker, report.born)))
+        if self._reservations is not None and (
+            self._reservations.record_placement(
+                (incarnation.worker for _, incarnation in members),
+                step.reserved,
+                candidate.ends_at,
+                candidate.step_id,
+            )
+        ):
+            self._excluded_from.clear()
         return Placement(candidate, tuple(members))
 
-    def _members(self, candidate: Candidate) -> list[AvailableWorker]:
+    def _members(
+        self, candidate: Candidate, count: int
+    ) -> list[AvailableWorker]:
         members = self._available[candidate.pool]
-        if candidate.step.is_long_running or not self._held:
-            return members
-        return [w for w in members if w.report.worker not in self._held]
+        if self._held and not candidate.step.is_long_running:
+            members = [w for w in members if w.report.worker not in self._held]
+        if self._reservations is not None:
+            # All members of a gang may get the same worker.
+            need = candidate.step.reserved.times(count)
+            members = [
+                w
+                for w in members
+                if self._reservations.admits(
+                    w.report.worker, need, candidate.ends_at, candidate.step_id
+                )
+            ]
+        return members
 
     def _find_preferred(
-        self, shape: Shape, ends_at: float
+        self,
+        shape: Shape,
+        ends_at: float,
+        owner: StepId | None,
+        *,
+        accepts_any: bool = False,
     ) -> AvailableWorker | None:
         """Return the preferred worker for a shape, or None if it fits nowhere.
 
         Prefers the rack that holds the task's data, then the smallest extension
-        of the worker's busy time, then the least free CPU.
+        of the worker's busy time, then the least free CPU. Returns the first
+        one found if `accepts_any`.
         """
         if shape in self._exhausted:
             return None
+        reservations = self._reservations
+        is_owner = reservations is not None and reservations.has_owner(owner)
+        if (
+            not is_owner
+            and shape in self._excluded_from
+            and ends_at >= self._excluded_from[shape]
+        ):
+            return None
         pool, reserved, label, rack, is_long_running = shape
         entries = self._by_free_cpu.get(pool, [])
         # No worker is extended less than the last one to become idle.
         least = extension_steps(ends_at, self._last_idle_at.get(pool, 0.0))
         best, best_key = None, (True, math.inf)
+        has_capacity = False
         for position in range(
             bisect.bisect_left(entries, (reserved.cpu,)), len(entries)
         ):
@@ -255,14 +325,23 @@
                 label and label not in labels
             ):
                 continue
+            has_capacity = True
+            if reservations is not None and not reservations.admits(
+                report.worker, reserved, ends_at, owner
+            ):
+                continue
+            if accepts_any:
+                return available_worker
             is_off_rack = bool(rack) and rack not in labels
             steps = extension_steps(ends_at, available_worker.idle_at)
             if not is_off_rack and steps <= least:
                 return available_worker
             if best is None or (is_off_rack, steps) < best_key:
                 best, best_key = available_worker, (is_off_rack, steps)
-        if best is None:
+        if not has_capacity:
             self._exhausted.add(shape)
+        elif best is None and not is_owner:
+            self._excluded_from[shape] = ends_at
         return best
 
     def _reserve(
