--- a/galenarill/placement/backlog.py
+++ b/galenarill/placement/backlog.py
@@ -43,6 +43,7 @@
             to be started apart from the others.
         expected_seconds: Expected duration of each task: infinity if it is
             long-running, negative infinity if durations aren't used.
+        step_id: Job, occurrence and number of the step.
     """
 
     job: JobId
@@ -57,11 +58,11 @@
     keys: list[TaskKey]
     is_trial: bool = False
     expected_seconds: float = -math.inf
+    step_id: StepId = dataclasses.field(init=False)
 
-    @property
-    def step_id(self) -> StepId:
-        """Job, occurrence and number of the step of the waiting tasks."""
-        return self.job, self.keys[0].occurrence, self.keys[0].step
+    def __post_init__(self):
+        """Set what all rounds need of each waiting group."""
+        self.step_id = (self.job, self.keys[0].occurrence, self.keys[0].step)
 
     def is_late(self, wall_time: float) -> bool:
         """Return whether the job can no longer meet its objective."""
