Lower the cost of expected ends and of reservations

With 10,000 waiting tasks and 233 full pools, most of the added time of a round went into the expected ends of workers whose runs have changed, and into candidates for reservations that were not used.

The latest end on a worker now reads the ends that are known without a call for each run, and at most eight candidates are made for a pool. A long-running run that starts up keeps an infinite end; its progress is that of its start.

--- a/galenarill/coordinator/holding.py
+++ b/galenarill/coordinator/holding.py
@@ -2,6 +2,7 @@
 
 import abc
 import dataclasses
+import itertools
 import logging
 from collections.abc import Callable
 
@@ -356,11 +357,15 @@
         turns = self._turns.setdefault(pool, Turns(MAX_RESERVED_TASKS))
         by_id = {group.step_id: group for group in groups}
         taken = turns.take(by_id)
-        candidates = [
-            facts.make_candidate(by_id[step_id], key)
+        tasks = (
+            (by_id[step_id], key)
             for step_id in taken
-            for key in by_id[step_id].keys[:MAX_RESERVED_TASKS]
-        ][:MAX_RESERVED_TASKS]
+            for key in by_id[step_id].keys
+        )
+        candidates = [
+            facts.make_candidate(group, key)
+            for group, key in itertools.islice(tasks, MAX_RESERVED_TASKS)
+        ]
         chosen = choose_reservations(
             candidates,
             {pool: members},
--- a/galenarill/coordinator/progress.py
+++ b/galenarill/coordinator/progress.py
@@ -60,7 +60,7 @@
             run.progress = RunProgress(row.percent, now)
         run.progress.record_reading(row.percent, now)
         seconds_left = run.progress.remaining_seconds()
-        if seconds_left is not None:
+        if seconds_left is not None and not run.step.is_long_running:
             run.ends_at = now + seconds_left
             self._context.runs.idle_at_by_worker.pop(
                 run.incarnation.worker, None
@@ -109,11 +109,14 @@
         """
         if run.phase in (Phase.STOPPING, Phase.STOPPED):
             return now + OVERDUE_SECONDS
-        if run.step.is_long_running:
-            return math.inf
         if run.ends_at is None:
-            run.ends_at = run.phase_since + self.durations.expected_seconds(
-                self._duration_key(run), run.step
+            run.ends_at = (
+                math.inf
+                if run.step.is_long_running
+                else run.phase_since
+                + self.durations.expected_seconds(
+                    self._duration_key(run), run.step
+                )
             )
         if run.ends_at <= now:
             # It has outlasted what is expected of most.
@@ -132,7 +135,10 @@
             if not runs:
                 return now
             idle_at = cache[worker] = max(
-                self.expected_end(run, now) for run in runs.values()
+                run.ends_at
+                if run.ends_at is not None and run.ends_at > now
+                else self.expected_end(run, now)
+                for run in runs.values()
             )
         return idle_at
 
