--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -25,6 +25,7 @@
 from galenarill.coordinator.crashes import CrashMonitor
 from galenarill.coordinator.disruptions import DisruptionMonitor
 from galenarill.coordinator.endings import RunEndCommitter
+from galenarill.coordinator.options import SchedulerOptions
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.placing import Placer
 from galenarill.coordinator.progress import ProgressMonitor
@@ -54,7 +55,6 @@
 from galenarill.telemetry import meter
 from galenarill.workers import (
     AdviceClient,
-    OrderTimeouts,
     WorkerClient,
     WorkerRegistry,
     WorkerReport,
@@ -102,9 +102,7 @@
         retention_seconds: float,
         max_lease_seconds: float,
         advice_client: AdviceClient | None = None,
-        share_half_life_seconds: float = 0.0,
-        timeouts: OrderTimeouts | None = None,
-        useful_lateness: float = 0.0,
+        options: SchedulerOptions | None = None,
     ):
         """Create the scheduler of a term; `start` starts it.
 
@@ -118,12 +116,9 @@
             retention_seconds: How long the status of ended jobs is kept.
             max_lease_seconds: Longest lease that a worker accepts.
             advice_client: Client of the policy service, or None.
-            share_half_life_seconds: Half-life of the usage of tenants in the
-                order between them; 0 if only current usage counts.
-            timeouts: Timeouts of orders to workers, or None for the defaults.
-            useful_lateness: Multiple of its objective for which a job is
-                useful, or 0 to reject none.
+            options: Optional parts that are enabled, or None for none.
         """
+        options = options or SchedulerOptions()
         self._state = state
         # Jobs that are not done, failed or cancelled.
         self._active_jobs: set[JobId] = set()
@@ -134,7 +129,7 @@
         # Active jobs that may have ready tasks because time passes.
         self._timed_jobs: set[JobId] = set()
         self._registry = registry
-        self._counts_recent_usage = share_half_life_seconds > 0
+        self._counts_recent_usage = options.share_half_life_seconds > 0
         self._retention_seconds = retention_seconds + RETENTION_MARGIN_SECONDS
         self._context = TermContext(
             term,
@@ -143,7 +138,7 @@
             propose,
             has_leader_lease,
             max_lease_seconds,
-            timeouts or OrderTimeouts(),
+            options.timeouts,
         )
         self._progress_monitor = ProgressMonitor(self._context)
         self._crash_monitor = CrashMonitor(self._context)
@@ -175,12 +170,13 @@
             self._crash_monitor,
             self._advisor,
             self._disruptions,
-            RecentUsage(share_half_life_seconds)
-            if share_half_life_seconds
+            RecentUsage(options.share_half_life_seconds)
+            if self._counts_recent_usage
             else None,
+            looks_ahead=options.looks_ahead,
         )
         self._admitter = JobAdmitter(
-            self._context, self._placer, registry, useful_lateness
+            self._context, self._placer, registry, options.useful_lateness
         )
 
     def start(self) -> None:
@@ -479,6 +475,7 @@
             if self._counts_recent_usage:
                 share = recent_shares.get(tenant, 0.0)
                 _TENANT_RECENT_SHARE.set(share, {"tenant": tenant})
+        self._progress_monitor.durations.forget_old(monotonic_now())
         if self._context.has_leader_lease():
             self._forget_old_jobs()
         await asyncio.sleep(HOUSEKEEPING_SECONDS)
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -35,6 +35,7 @@
 from galenarill.coordinator.leader import Leader
 from galenarill.coordinator.machines import manage_machines
 from galenarill.coordinator.moves import PoolRebalancer
+from galenarill.coordinator.options import scheduler_options
 from galenarill.coordinator.proposals import Proposals
 from galenarill.coordinator.requests import RequestHandler
 from galenarill.coordinator.service import CoordinatorService
@@ -50,7 +51,6 @@
     WorkerRegistry,
     WorkerReport,
     begins_in_future,
-    order_timeouts,
 )
 
 __all__ = ["Coordinator"]
@@ -439,9 +439,7 @@
             settings.keep_job_seconds,
             settings.max_worker_lease_ms / 1000,
             self._advice_client,
-            settings.share_half_life_seconds,
-            order_timeouts(settings.order_repeat_ms),
-            settings.useful_lateness,
+            scheduler_options(settings),
         )
         self._leader.start()
         self._led_since = monotonic_now()
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -6,6 +6,7 @@
 import functools
 import itertools
 import logging
+import math
 from collections.abc import Iterator
 
 from galenarill.common import (
@@ -22,7 +23,11 @@
 from galenarill.coordinator.cordons import CordonReason, Cordons
 from galenarill.coordinator.crashes import CrashMonitor
 from galenarill.coordinator.disruptions import DisruptionMonitor
-from galenarill.coordinator.holding import WorkerHolds
+from galenarill.coordinator.holding import (
+    PlacementFacts,
+    WorkerHolds,
+    WorkerReservations,
+)
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.preempting import Preemptor
 from galenarill.coordinator.progress import ProgressMonitor
@@ -40,12 +45,14 @@
 from galenarill.placement import (
     AvailableWorker,
     Candidate,
+    ExpectedRelease,
     Packer,
     Placement,
     Quota,
     RecentUsage,
     TaskGroup,
     TenantUsage,
+    duration_key,
     make_group,
     place_groups,
 )
@@ -79,6 +86,7 @@
         tenant: Tenant, or "".
         run: Name of the task, and number of the run.
         is_trial: Whether the task may crash its worker.
+        ends_at: Expected end, on the monotonic clock.
     """
 
     worker: WorkerId
@@ -86,6 +94,7 @@
     tenant: TeamId
     run: tuple[str, int]
     is_trial: bool
+    ends_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,13 +126,17 @@
         advisor: Advisor,
         disruptions: DisruptionMonitor,
         recent_usage: RecentUsage | None = None,
+        *,
+        looks_ahead: bool = False,
     ):
         """Create a placer for the term of `context`.
 
         If `recent_usage` is given, it counts in the order between tenants.
+        Expected ends of runs are used if `looks_ahead`.
         """
         self._context = context
         self._recent_usage = recent_usage
+        self._looks_ahead = looks_ahead
         self._disruptions = disruptions
         self._advisor = advisor
         self._run_orders = run_orders
@@ -131,9 +144,13 @@
         self._crash_monitor = crash_monitor
         self._preemptor = Preemptor(context, run_orders)
         self._trial_placer = TrialPlacer(crash_monitor)
-        self._worker_holds = WorkerHolds(context)
+        self._capacity_keeper = (
+            WorkerReservations(context, progress_monitor)
+            if looks_ahead
+            else WorkerHolds(context)
+        )
         self._advice_requests = AdviceRequests(
-            context, advisor, self._preemptor, self._worker_holds
+            context, advisor, self._preemptor, self._capacity_keeper
         )
         # Ready tasks without a proposed start, by job.
         self._groups: dict[JobId, list[TaskGroup]] = {}
@@ -217,12 +234,24 @@
             if (job.id, key) not in self._proposed
             and self._crash_monitor.may_start(job.id, key)
         }
-        return [
+        groups = [
             make_group(job, queue, list(members), is_trial)
             for (*_, is_trial), members in itertools.groupby(
                 sorted(kinds, key=lambda key: (kinds[key], key)), kinds.get
             )
         ]
+        if self._looks_ahead:
+            for group in groups:
+                group.expected_seconds = self._expected_seconds(job, group.step)
+        return groups
+
+    def _expected_seconds(self, job: Job, step: Step) -> float:
+        """Return how long a task will probably run."""
+        if step.is_long_running:
+            return math.inf
+        return self._progress_monitor.durations.expected_seconds(
+            duration_key(job, step), step
+        )
 
     def _tasks_to_copy(self, job: Job) -> list[TaskKey]:
         """Return tasks that need a speculative copy."""
@@ -256,7 +285,7 @@
             self._refresh_all_jobs()
         self.unplaced = {}
         if not self._groups:
-            self._worker_holds.clear()
+            self._capacity_keeper.clear()
             return
         groups = [group for job in self._groups.values() for group in job]
         proposed = self._uncommitted_starts()
@@ -265,7 +294,7 @@
         )
         cold = self._take_cold_workers(available, proposed)
         usage, quotas = self._tenant_usage(proposed)
-        wall_time = wall_now()
+        wall_time, now = wall_now(), monotonic_now()
         # Number of tasks on each worker, by job, occurrence and step.
         step_tasks_by_worker: dict[tuple, dict[WorkerId, int]] = {}
         unsettled = (
@@ -278,8 +307,9 @@
             unsettled=unsettled,
             step_tasks_by_worker=step_tasks_by_worker,
             proposed=proposed,
+            now=now,
         )
-        held = self._worker_holds.workers
+        held = self._capacity_keeper.workers
         placements = self._trial_placer.place(
             groups,
             available,
@@ -293,9 +323,21 @@
                 placement.candidate.tenant,
                 placement.candidate.step.need.times(len(placement.members)),
             )
+        others = [group for group in groups if not group.is_trial]
+        releases: dict[WorkerId, list[ExpectedRelease]] = {}
+        for _, start in proposed:
+            if start.ends_at < math.inf:
+                releases.setdefault(start.worker, []).append(
+                    (start.ends_at, start.step.reserved)
+                )
+        reservations = self._capacity_keeper.reserve(
+            PlacementFacts(
+                others, available, quotas, usage, releases, make_candidate
+            )
+        )
         placements += place_groups(
-            [group for group in groups if not group.is_trial],
-            Packer(available, quotas, held),
+            others,
+            Packer(available, quotas, held, reservations, now),
             usage,
             wall_time,
             make_candidate,
@@ -328,7 +370,7 @@
             available,
             quotas,
         )
-        self._worker_holds.update(waiting, make_candidate, available)
+        self._capacity_keeper.update(waiting, make_candidate, available)
         if placements:
             self._start(placements, sum(len(group.keys) for group in waiting))
 
@@ -363,6 +405,7 @@
                 candidate.tenant,
                 (task_name(candidate.job, candidate.key, member), number),
                 is_trial,
+                candidate.ends_at,
             )
             for member, incarnation in placement.members
         ]
@@ -447,6 +490,7 @@
         unsettled: frozenset[WorkerId],
         step_tasks_by_worker: dict,
         proposed: list,
+        now: float,
     ) -> Candidate:
         step, job = group.step, self._context.state.jobs[group.job]
         step_key = (group.job, *key[:2])
@@ -466,6 +510,7 @@
             if job.queue_settings.advice is not None
             else None,
             unsettled if step.is_long_running else frozenset(),
+            now + group.expected_seconds,
         )
 
     def _workers_to_avoid(self, job: Job, key: TaskKey) -> frozenset[WorkerId]:
@@ -502,8 +547,12 @@
         now = monotonic_now()
         reserved = self._context.runs.reserved_by_worker
         proposed_by_worker: dict[WorkerId, Resources] = {}
+        proposed_ends: dict[WorkerId, float] = {}
         for _, start in proposed:
             _add(proposed_by_worker, start.worker, start.step.reserved)
+            proposed_ends[start.worker] = max(
+                start.ends_at, proposed_ends.get(start.worker, now)
+            )
         available: dict[PoolId, list[AvailableWorker]] = {}
         for worker, session in self._context.usable_sessions():
             report = session.report
@@ -519,9 +568,13 @@
             is_suspect = self._progress_monitor.health.is_quarantined(
                 worker, now
             )
-            available.setdefault(report.pool, []).append(
-                AvailableWorker(report, free, is_suspect)
-            )
+            available_worker = AvailableWorker(report, free, is_suspect)
+            if self._looks_ahead:
+                available_worker.idle_at = max(
+                    self._progress_monitor.idle_at(worker, now),
+                    proposed_ends.get(worker, now),
+                )
+            available.setdefault(report.pool, []).append(available_worker)
         return available
 
     def _take_cold_workers(
--- a/galenarill/coordinator/tests/simulation.py
+++ b/galenarill/coordinator/tests/simulation.py
@@ -8,6 +8,7 @@
 
 from galenarill.common import replaced_clocks
 from galenarill.coordinator.leader import Leader
+from galenarill.coordinator.options import SchedulerOptions
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
     AcceptJob,
@@ -84,11 +85,15 @@
         leader_options=None,
         zones=None,
         useful_lateness=0.0,
+        looks_ahead=False,
     ):
-        self.leader_options = leader_options or {}
+        self.options = SchedulerOptions(
+            useful_lateness=useful_lateness,
+            looks_ahead=looks_ahead,
+            **(leader_options or {}),
+        )
         self.advice = advice
         self.commit_seconds = commit_seconds
-        self.useful_lateness = useful_lateness
         # Probability that a pending entry of a deposed leader is committed.
         self.survival_rate = 0.5
         self.pending = []
@@ -154,8 +159,7 @@
             120.0,
             MAX_LEASE_SECONDS,
             self.advice,
-            **self.leader_options,
-            useful_lateness=self.useful_lateness,
+            self.options,
         )
         self.leader.start()
 
--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -45,6 +45,8 @@
         useful_lateness: Multiple of its objective for which a job's result is
             useful. A job that certainly comes later is rejected; 0 rejects
             none.
+        looks_ahead: Whether placement takes expected ends of runs into account
+            and reserves capacity for tasks that wait.
     """
 
     vm: str
@@ -70,6 +72,7 @@
     order_repeat_ms: float = 0.0
     zones: list[str] = dataclasses.field(default_factory=list)
     useful_lateness: float = 0.0
+    looks_ahead: bool = False
 
     @property
     def link_address(self) -> VmId:
