Test that an unknown zone is refused like other refusals

Cause: a 404 after an attempt that may have been executed would be wrong.

Change: the tests of replies to several attempts cover UNKNOWN_ZONE.

Tested: galenarill/cluster passes.

--- a/galenarill/cluster/tests/test_resent_requests.py
+++ b/galenarill/cluster/tests/test_resent_requests.py
@@ -28,6 +28,7 @@
     Code.NO_CONFIGURATION,
     Code.ID_IN_USE,
     Code.INVALID,
+    Code.UNKNOWN_ZONE,
 ]
 SUBMIT = SubmitJob(
     "h", "/a/j", "key", "j", JobSpec("x", (Step(1, Resources(1)),))
