End a run whose worker restarts after it was assigned on

Cause: a state machine play failed at its end with a run that is stopped and never ends. A run that one restart of its worker assigns to the later incarnation stays marked as displaced. If that incarnation confirms it and restarts as well, it was neither assigned on nor committed as lost, and kept its task and its capacity. The fault is older than evacuations: the play, without orders for zones, fails in the same way on.

Change: each restart either assigns a run on or commits it as lost.

Workers number each report higher, and so do the plays now; all other checks are as before.

--- a/galenarill/coordinator/endings.py
+++ b/galenarill/coordinator/endings.py
@@ -183,7 +183,7 @@
         Returns:
             The runs that were assigned to the later incarnation.
         """
-        displaced = []
+        displaced, lost = [], []
         earlier = [
             run
             for run in self._context.runs.on_worker(worker)
@@ -202,11 +202,10 @@
                 run.seen_from_ms, run.survived_ms = None, 0.0
                 run.silent_since = None
                 displaced.append(run)
-        lost = [
-            run
-            for run in earlier
-            if not run.is_displaced and not self.is_ending(run)
-        ]
+            elif not self.is_ending(run):
+                # Also a run that an earlier restart has assigned on, if the
+                # incarnation that it was assigned to has confirmed it.
+                lost.append(run)
         self._commit_lost_runs(worker, cause, lost)
         return displaced
 
--- a/galenarill/coordinator/tests/test_leader_machine.py
+++ b/galenarill/coordinator/tests/test_leader_machine.py
@@ -111,8 +111,9 @@
         simulation = self.simulation
         simulation.network.cut.clear()
         simulation.network.loss = simulation.network.lateness = 0.0
+        # Each worker reports from time to time, with a higher number.
         for life in list(simulation.network.workers.values()):
-            simulation.call(simulation.report, life.report)
+            simulation.call(simulation.report, life.report_again())
         for job_id, job in list(simulation.state.jobs.items()):
             if job.spec.steps[0].is_long_running:
                 simulation.cancel(job_id)
--- a/galenarill/coordinator/tests/test_worker_restarts.py
+++ b/galenarill/coordinator/tests/test_worker_restarts.py
@@ -35,6 +35,25 @@
     machine.teardown()
 
 
+def test_a_run_assigned_on_is_lost_at_a_later_restart_of_its_worker():
+    """Guards against a stopped run that is kept, with its capacity, for good.
+
+    It was assigned to a later incarnation, which confirmed it and restarted.
+    """
+    machine = LeaderMachine()
+    machine.start(seed=656)
+    steps = (
+        "w0 2 1 w1 w0 1 1 w0 1 1 2 w1 2 w2 w2 "
+        "1 w0 w1 w1 w0 w2 1 w2 w0 w1 2 1 w2 1"
+    )
+    for step in steps.split():
+        if step.startswith("w"):
+            machine.crash_and_return(name=step)
+        else:
+            machine.submit_long_running(count=int(step))
+    machine.teardown()
+
+
 def test_an_incarnation_known_only_by_its_lists_gets_no_starts():
     """Its pool, labels and capacity are known only from its own report."""
     simulation = Simulation(workers=1)
