--- a/galenarill/cluster/tests/test_resent_requests.py
+++ b/galenarill/cluster/tests/test_resent_requests.py
@@ -29,6 +29,7 @@
     Code.ID_IN_USE,
     Code.INVALID,
     Code.TOO_LATE,
+    Code.UNKNOWN_ZONE,
 ]
 SUBMIT = SubmitJob(
     "h", "/a/j", "key", "j", JobSpec("x", (Step(1, Resources(1)),))
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -75,23 +75,8 @@
 class PoolRebalancer:
     """Moves machines to where tasks wait, and idle ones to spare pools."""
 
-    def __init__(
-        self,
-        leader: Leader,
-        state: ClusterState,
-        fleet: Fleet,
-        anticipates_bursts: bool = False,
-    ):
-        """Create a rebalancer of `fleet` for the load of `leader`.
-
-        Args:
-            leader: Scheduler of the term.
-            state: Replicated state.
-            fleet: Machines and orders on them.
-            anticipates_bursts: Whether pools keep more machines in reserve the
-                longer ago their last burst is, and clear their backlog.
-        """
-        self._anticipates_bursts = anticipates_bursts
+    def __init__(self, leader: Leader, state: ClusterState, fleet: Fleet):
+        """Create a rebalancer of `fleet` for the load of `leader`."""
         self._began_at = monotonic_now()
         # When each pool last had a burst, on the monotonic clock.
         self._burst_at: dict[PoolId, float] = {}
@@ -193,7 +178,7 @@
             for pool in self._state.routing.configuration.pools
             if not pool.is_spare
         ]
-        if not self._anticipates_bursts or not pools:
+        if not self._leader.anticipates_bursts or not pools:
             return dict.fromkeys(pools, mean)
         idle_seconds = {
             pool: now - self._burst_at.get(pool, self._began_at)
@@ -240,7 +225,7 @@
         capacity = median_capacity([machine.capacity for machine in machines])
         if capacity is None:
             return
-        if self._anticipates_bursts:
+        if self._leader.anticipates_bursts:
             self._update_backlogs(loads, capacity, now)
         surge = math.ceil(len(machines) * SURGE_SHARE)
         for pool, load in loads.items():
@@ -332,6 +317,8 @@
                     "waiting_cpu": load.waiting.cpu,
                     "late_cpu": load.late.cpu,
                     "arriving_cpu": load.arriving.cpu,
+                    "catch_up_cpu": load.catch_up.cpu,
+                    "occupancy": round(self._leader.occupancy_ratio(pool), 2),
                     "unplaced": load.unplaced,
                     "list_age": round(now - self._fleet.read_at, 3),
                 },
--- a/galenarill/coordinator/progress.py
+++ b/galenarill/coordinator/progress.py
@@ -1,12 +1,14 @@
 """Detects stalled runs and stragglers, and faulty workers behind them."""
 
 import logging
+import math
 import statistics
 
 from galenarill.common import JobId, WorkerId, monotonic_now
 from galenarill.coordinator.runs import Phase, TrackedRun
 from galenarill.coordinator.term import TermContext
 from galenarill.jobs import TaskKey
+from galenarill.placement import DurationKey, DurationModel, duration_key
 from galenarill.workers import RunningRow, RunProgress, WorkerHealth
 
 __all__ = ["ProgressMonitor"]
@@ -23,6 +25,10 @@
 MIN_SIBLINGS = 2
 # Time to stop a run and to start it elsewhere, in seconds.
 RESTART_COST_SECONDS = 0.5
+# Time after which a run is expected to end that is being stopped, or that has
+# outlasted its expected duration, in seconds. About the time until its worker's
+# next answer.
+OVERDUE_SECONDS = 0.25
 
 
 class ProgressMonitor:
@@ -32,6 +38,7 @@
         """Create a monitor for the runs of `context`."""
         self._context = context
         self.health = WorkerHealth()
+        self.durations = DurationModel()
         # Worker and duration in seconds of finished tasks, by step.
         self._durations: dict[tuple, list[tuple[WorkerId, float]]] = {}
         # Workers on which a task failed or stalled. It is retried elsewhere.
@@ -52,6 +59,12 @@
         if run.progress is None:
             run.progress = RunProgress(row.percent, now)
         run.progress.record_reading(row.percent, now)
+        seconds_left = run.progress.remaining_seconds()
+        if seconds_left is not None and not run.step.is_long_running:
+            run.ends_at = now + seconds_left
+            self._context.runs.idle_at_by_worker.pop(
+                run.incarnation.worker, None
+            )
         if run.phase is not Phase.RUNNING or run.step.is_gang:
             return False
         if run.step.is_long_running and row.percent >= 100:
@@ -82,8 +95,52 @@
         self.health.record_success(worker)
         if run.covers_whole_task:
             step_key = (run.job, *run.key[:2])
-            seconds = monotonic_now() - run.phase_since
+            now = monotonic_now()
+            seconds = now - run.phase_since
             self._durations.setdefault(step_key, []).append((worker, seconds))
+            self.durations.record(
+                self._duration_key(run), run.step, seconds, now
+            )
+
+    def expected_end(self, run: TrackedRun, now: float) -> float:
+        """Return when a run will probably end, on the monotonic clock.
+
+        Never before `now`, and infinity for a long-running run.
+        """
+        if run.phase in (Phase.STOPPING, Phase.STOPPED):
+            return now + OVERDUE_SECONDS
+        if run.ends_at is None:
+            run.ends_at = (
+                math.inf
+                if run.step.is_long_running
+                else run.phase_since
+                + self.durations.expected_seconds(
+                    self._duration_key(run), run.step
+                )
+            )
+        if run.ends_at <= now:
+            # It has outlasted what is expected of most.
+            _, longest = self.durations.bounds_seconds(
+                self._duration_key(run), run.step
+            )
+            run.ends_at = max(run.phase_since + longest, now + OVERDUE_SECONDS)
+        return run.ends_at
+
+    def idle_at(self, worker: WorkerId, now: float) -> float:
+        """Return when all runs on a worker have probably ended."""
+        cache = self._context.runs.idle_at_by_worker
+        idle_at = cache.get(worker, now)
+        if idle_at <= now:
+            runs = self._context.runs.by_worker.get(worker)
+            if not runs:
+                return now
+            idle_at = cache[worker] = max(
+                run.ends_at
+                if run.ends_at is not None and run.ends_at > now
+                else self.expected_end(run, now)
+                for run in runs.values()
+            )
+        return idle_at
 
     def forget_job(self, job: JobId) -> None:
         """Drop the records of a job that has ended."""
@@ -91,6 +148,9 @@
             for key in [key for key in records if key[0] == job]:
                 del records[key]
 
+    def _duration_key(self, run: TrackedRun) -> DurationKey:
+        return duration_key(self._context.state.jobs[run.job], run.step)
+
     def _record_stall(self, run: TrackedRun) -> None:
         logger.info(
             "run stalled",
--- a/galenarill/pools/demand.py
+++ b/galenarill/pools/demand.py
@@ -31,6 +31,32 @@
 NO_WORK: Work = (0.0, 0.0, 0.0)
 
 
+class _Runs:
+    """The latest runs of a pool, and the sums over them.
+
+    Attributes:
+        latest: Estimated and occupied CPU seconds of each run.
+        estimated: Sum of the estimates.
+        occupied: Sum of the occupied CPU seconds.
+    """
+
+    def __init__(self):
+        self.latest: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self.estimated = 0.0
+        self.occupied = 0.0
+
+    def add(self, estimated: float, occupied: float) -> None:
+        self.latest.append((estimated, occupied))
+        self.estimated += estimated
+        self.occupied += occupied
+        if len(self.latest) > MAX_RUNS:
+            estimated, occupied = self.latest.popleft()
+            self.estimated -= estimated
+            self.occupied -= occupied
+
+
 class OccupancyRatio:
     """Ratio of the time that runs occupy workers to their estimates, by pool.
 
@@ -48,7 +74,7 @@
 
     def __init__(self):
         """Create a ratio that knows no runs."""
-        self._runs: dict[PoolId, collections.deque[tuple[float, float]]] = {}
+        self._runs: dict[PoolId, _Runs] = {}
 
     def add(
         self,
@@ -65,17 +91,15 @@
             estimated_seconds: Its estimated duration.
             occupied_seconds: Time from its placement until its end was known.
         """
-        runs = self._runs.setdefault(pool, collections.deque(maxlen=MAX_RUNS))
-        runs.append((cpu * estimated_seconds, cpu * occupied_seconds))
+        runs = self._runs.setdefault(pool, _Runs())
+        runs.add(cpu * estimated_seconds, cpu * occupied_seconds)
 
     def of(self, pool: PoolId) -> float:
         """Return the ratio in a pool, or 1 while too few runs are known."""
-        runs = self._runs.get(pool, ())
-        estimated = sum(run[0] for run in runs)
-        if len(runs) < MIN_RUNS or not estimated:
+        runs = self._runs.get(pool)
+        if runs is None or len(runs.latest) < MIN_RUNS or runs.estimated <= 0:
             return 1.0
-        ratio = sum(run[1] for run in runs) / estimated
-        return min(max(ratio, MIN_RATIO), MAX_RATIO)
+        return min(max(runs.occupied / runs.estimated, MIN_RATIO), MAX_RATIO)
 
 
 def catch_up_capacity(
--- a/galenarill/settings/node.py
+++ b/galenarill/settings/node.py
@@ -48,6 +48,8 @@
         anticipates_bursts: Whether pools are sized by their backlog and by how
             long runs occupy workers, and keep more machines in reserve the
             longer ago their last burst is.
+        looks_ahead: Whether placement takes expected ends of runs into account
+            and reserves capacity for tasks that wait.
     """
 
     vm: str
@@ -74,6 +76,7 @@
     zones: list[str] = dataclasses.field(default_factory=list)
     useful_lateness: float = 0.0
     anticipates_bursts: bool = False
+    looks_ahead: bool = False
 
     @property
     def link_address(self) -> VmId:
