Lower the leader's cost of counters, URLs and comparisons of siblings

Change: the two hot counters count locally and are read on a scrape; URLs of orders are kept; a run is compared with its siblings at most each 0.2 s. Tested: telemetry, platform, leader, machines, layout. Not measured by itself.

--- a/galenarill/coordinator/endings.py
+++ b/galenarill/coordinator/endings.py
@@ -12,14 +12,14 @@
 from galenarill.placement import estimated_seconds
 from galenarill.pools import OccupancyRatio
 from galenarill.routing import Resources
-from galenarill.telemetry import meter
+from galenarill.telemetry import LocalCounter, meter
 from galenarill.workers import EndedRow, WorkerReport, WorkerSession
 
 __all__ = ["RunEndCommitter", "ALL_INCARNATIONS"]
 
 logger = logging.getLogger(__name__)
 
-_ENDS = meter().create_counter("galenarill_runs_ended")
+_ENDS = LocalCounter("galenarill_runs_ended", "how")
 _LOST_WORKERS = meter().create_counter("galenarill_workers_lost")
 _EXPIRED_LEASES = meter().create_counter("galenarill_leases_lapsed")
 
@@ -61,7 +61,7 @@
         if self.is_ending(run) or not self._context.is_tracked(run):
             return
         self._pending_ends.add(run_id)
-        _ENDS.add(1, {"how": how.value})
+        _ENDS.add(how.value)
         if (
             not checkpoint
             and run.row is not None
--- a/galenarill/coordinator/orders.py
+++ b/galenarill/coordinator/orders.py
@@ -11,14 +11,14 @@
 from galenarill.coordinator.term import RETRY_SECONDS, TermContext
 from galenarill.jobs import RunOutcome
 from galenarill.routing import Resources
-from galenarill.telemetry import meter
+from galenarill.telemetry import LocalCounter
 from galenarill.workers import OrderAnswer, StartOrder, Verdict, WorkerSession
 
 __all__ = ["RunOrders"]
 
 logger = logging.getLogger(__name__)
 
-_STARTS = meter().create_counter("galenarill_starts")
+_STARTS = LocalCounter("galenarill_starts", "verdict")
 
 # Time without new starts for a worker that refused one, in seconds.
 REFUSAL_BACKOFF_SECONDS = 0.3
@@ -185,7 +185,7 @@
             run.is_confirmed = True
             run.note_alive(answer.clock_ms)
         self._context.record_clock(session, answer)
-        _STARTS.add(1, {"verdict": answer.verdict.value})
+        _STARTS.add(answer.verdict.value)
         if answer.verdict is not Verdict.DONE:
             logger.info(
                 "start answered",
--- a/galenarill/coordinator/progress.py
+++ b/galenarill/coordinator/progress.py
@@ -21,6 +21,9 @@
 # A run is a straggler if it takes this many times as long as its siblings.
 # Durations of tasks of one step normally differ by a third.
 SLOW_FACTOR = 2.5
+# Time between two comparisons of a run with its siblings, in seconds. Workers
+# with many runs list them up to fifteen times a second.
+COMPARISON_SECONDS = 0.2
 # Least number of sibling runs on other workers for a comparison.
 MIN_SIBLINGS = 2
 # Time to stop a run and to start it elsewhere, in seconds.
@@ -72,9 +75,11 @@
         if run.progress.stalled_seconds() >= STALL_SECONDS:
             self._record_stall(run)
             return True
-        if not run.is_slow and self._is_slow(run):
-            run.is_slow = True
-            self.record_failure(run)
+        if not run.is_slow and now >= run.next_comparison_at:
+            run.next_comparison_at = now + COMPARISON_SECONDS
+            run.is_slow = self._is_slow(run)
+            if run.is_slow:
+                self.record_failure(run)
         return run.is_slow and self._ends_sooner_elsewhere(run, now)
 
     def record_failure(self, run: TrackedRun) -> None:
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -60,6 +60,8 @@
             the monotonic clock.
         progress: Measured progress, or None before the first reading.
         is_slow: Whether it is a straggler compared with its siblings.
+        next_comparison_at: When it is compared with them next, on the monotonic
+            clock.
         covers_whole_task: Whether the time since `phase_since` is the task's
             whole duration: its start was acknowledged, at the first try
             and without a checkpoint.
@@ -102,6 +104,7 @@
     ordered_at: float = 0.0
     progress: RunProgress | None = None
     is_slow: bool = False
+    next_comparison_at: float = float("-inf")
     covers_whole_task: bool = False
     speed_percent: int = 100
     is_confirmed: bool = False
--- a/galenarill/platform/worker_client.py
+++ b/galenarill/platform/worker_client.py
@@ -1,9 +1,11 @@
 """HTTP client that sends orders to workers."""
 
 import asyncio
+import functools
 
 import aiohttp
 import msgspec
+import yarl
 
 from galenarill.errors import ProtocolError
 from galenarill.platform.wire import decode_clock_and_reason, decode_lists
@@ -24,6 +26,9 @@
 MAX_CONNECTIONS = 4
 EXPECTED_INSTANCE_HEADER = "X-Galenarill-Expect-Instance"
 
+# URLs that are kept: four for each of 2,000 workers.
+MAX_URLS = 8_000
+
 # In place of an HTTP status.
 _NO_RESPONSE = 0
 _REFUSED = -1
@@ -137,7 +142,7 @@
         try:
             async with asyncio.timeout(timeout_seconds):
                 async with self._session.post(
-                    f"http://{worker.address}/galenarill/{name}",
+                    _order_url(worker.address, name),
                     allow_redirects=False,
                     data=msgspec.json.encode(body),
                     headers={
@@ -155,6 +160,12 @@
             return _NO_RESPONSE, b""
 
 
+@functools.lru_cache(maxsize=MAX_URLS)
+def _order_url(address: str, name: str) -> yarl.URL:
+    """Return the URL of an order; parsing it takes a tenth of a call."""
+    return yarl.URL(f"http://{address}/galenarill/{name}")
+
+
 def _to_order_answer(status: int, data: bytes) -> OrderAnswer:
     if status == _REFUSED:
         return OrderAnswer(Verdict.NO_LISTENER)
--- a/galenarill/telemetry/metrics.py
+++ b/galenarill/telemetry/metrics.py
@@ -1,5 +1,6 @@
 """OpenTelemetry metrics, exported to Prometheus over HTTP."""
 
+import collections
 from collections.abc import Callable, Iterable, Mapping
 
 from aiohttp import web
@@ -13,7 +14,12 @@
 )
 from prometheus_client import REGISTRY, generate_latest
 
-__all__ = ["ObservableGauges", "PrometheusExporter", "meter"]
+__all__ = [
+    "LocalCounter",
+    "ObservableGauges",
+    "PrometheusExporter",
+    "meter",
+]
 
 METER_NAME = "galenarill"
 
@@ -43,6 +49,47 @@
     return metrics.get_meter(METER_NAME)
 
 
+class LocalCounter:
+    """Counter with one label, whose value is computed only on a scrape.
+
+    Each addition to a counter of OpenTelemetry takes about 18 us. On a path
+    with over a thousand additions a second that is 2% of a core.
+
+    Example:
+        >>> counter = LocalCounter("galenarill_example", "how")
+        >>> counter.add("done")
+        >>> counter.add("done")
+        >>> counter.counts["done"]
+        2
+    """
+
+    def __init__(self, name: str, label: str):
+        """Create a counter.
+
+        Args:
+            name: Name of the counter.
+            label: Name of its label, which should take few values.
+        """
+        self._label = label
+        self._counts: collections.Counter[str] = collections.Counter()
+        meter().create_observable_counter(name, callbacks=[self._observe])
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Counts by the value of the label."""
+        return self._counts
+
+    def add(self, value: str) -> None:
+        """Count one event with a value of the label."""
+        self._counts[value] += 1
+
+    def _observe(self, options: CallbackOptions) -> Iterable[Observation]:
+        return [
+            Observation(count, {self._label: value})
+            for value, count in self._counts.items()
+        ]
+
+
 class PrometheusExporter:
     """Exports all instruments of this process in the Prometheus format."""
 
