--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -487,7 +487,9 @@
         )
 
     async def _tick(self) -> None:
+        planned_at = monotonic_now() + TICK_SECONDS
         await asyncio.sleep(TICK_SECONDS)
+        self._context.note_loop_delay(monotonic_now() - planned_at)
         if not self._context.has_leader_lease():
             return
         now = monotonic_now()
--- a/galenarill/coordinator/term.py
+++ b/galenarill/coordinator/term.py
@@ -22,6 +22,11 @@
 # A worker without an answer for this long gets no starts, in seconds. Covers a
 # renewal that is held open, the time for its answer, and a slow link.
 ANSWER_SECONDS = 2.0
+# Delay of a timer above which the event loop counts as late, in seconds. More
+# than a sync of the journal and a placement round take together.
+MAX_LOOP_DELAY_SECONDS = 0.05
+# Time for which it then counts as late, in seconds.
+DELAY_MEMORY_SECONDS = 1.0
 # Pause before an order is retried, in seconds.
 RETRY_SECONDS = 0.15
 
@@ -36,7 +41,6 @@
         propose: Proposes commands, and returns a future of their commit.
         has_leader_lease: Returns whether leadership is confirmed.
         max_lease_seconds: Longest lease that a worker accepts.
-        timeouts: Timeouts of orders to workers.
         began_at: When the term began here, on the monotonic clock.
         runs: Runs that may be in progress.
         sessions: Session with the current incarnation of each worker.
@@ -60,13 +64,31 @@
         self.propose = propose
         self.has_leader_lease = has_leader_lease
         self.max_lease_seconds = max_lease_seconds
-        self.timeouts = timeouts
+        self._timeouts = timeouts
+        # Until when orders are repeated only after the full timeout.
+        self._delayed_until = float("-inf")
         self.began_at = monotonic_now()
         self.runs = RunIndex()
         self.sessions: dict[WorkerId, WorkerSession] = {}
         self.wake = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
 
+    @property
+    def timeouts(self) -> OrderTimeouts:
+        """Timeouts of orders to workers.
+
+        While the event loop is late, answers have often arrived that it has
+        not read yet. Orders that are repeated for them would add to its load.
+        """
+        if monotonic_now() < self._delayed_until:
+            return OrderTimeouts()
+        return self._timeouts
+
+    def note_loop_delay(self, seconds: float) -> None:
+        """Record by how much a timer of the event loop was late."""
+        if seconds > MAX_LOOP_DELAY_SECONDS:
+            self._delayed_until = monotonic_now() + DELAY_MEMORY_SECONDS
+
     def spawn(self, coroutine) -> asyncio.Task:
         """Run a coroutine until it ends or `stop` is called."""
         task = asyncio.create_task(coroutine)
--- a/galenarill/coordinator/tests/test_unanswered_orders.py
+++ b/galenarill/coordinator/tests/test_unanswered_orders.py
@@ -58,6 +58,28 @@
     assert len(simulation.network.history) == 1
 
 
+def test_a_late_event_loop_repeats_orders_only_after_the_full_timeout(make):
+    """Guards against repeated orders that add to the load of a busy leader."""
+    simulation = make()
+    sent = []
+    real = simulation.network.start
+
+    async def start(worker, order, timeout_seconds):
+        sent.append(timeout_seconds)
+        return await real(worker, order, timeout_seconds)
+
+    simulation.network.start = start
+    context = simulation.leader._context
+    simulation.call(context.note_loop_delay, 0.3)
+    simulation.submit("j", count=1)
+    simulation.advance(0.5)
+    simulation.submit("k", count=1)
+    simulation.advance(1.5)
+    simulation.submit("l", count=1)
+    simulation.advance(0.5)
+    assert sent == [0.7, 0.7, REPEAT_SECONDS]
+
+
 def test_an_end_is_seen_soon_after_a_lost_renewal(make):
     """Guards against ends that one lost renewal hides for over a second."""
     simulation = make()
