--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -466,15 +466,12 @@
         ratio = self.occupancy_ratio(load.pool)
         load.arriving = scaled(load.arriving, ratio)
         for waiting in self._placer.unplaced.get(load.pool, ()):
-            if waiting.step.is_long_running:
+            if waiting.step.is_long_running or waiting.is_late:
                 continue
             seconds = ratio * waiting.count * estimated_seconds(waiting.step)
             need = waiting.step.reserved
             work = need.cpu * seconds, need.mem_mb * seconds, need.gpu * seconds
-            if waiting.is_late:
-                load.late_work = add_work(load.late_work, work)
-            else:
-                load.waiting_work = add_work(load.waiting_work, work)
+            load.waiting_work = add_work(load.waiting_work, work)
 
     def _evacuated_workers(self) -> frozenset[WorkerId]:
         zones = self._state.evacuated_zones
--- a/galenarill/coordinator/moves.py
+++ b/galenarill/coordinator/moves.py
@@ -23,7 +23,6 @@
     Move,
     PoolLoad,
     PoolMachine,
-    add_work,
     catch_up_capacity,
     divide_reserve,
     median_capacity,
@@ -211,11 +210,6 @@
             load.catch_up = catch_up_capacity(
                 load.waiting_work, load.arriving, available
             )
-            load.late_catch_up = catch_up_capacity(
-                add_work(load.waiting_work, load.late_work),
-                load.arriving,
-                available,
-            )
             if needed_machines(load, capacity) > burst:
                 self._burst_at[pool] = now
 
--- a/galenarill/pools/plan.py
+++ b/galenarill/pools/plan.py
@@ -53,9 +53,7 @@
         waiting_lasting: The part of `waiting` that long-running tasks need.
         waiting_work: Work of ready tasks without a run whose jobs can still
             meet their objective, in resources times seconds.
-        late_work: The same for jobs that are late already.
         catch_up: Capacity that clears `waiting_work`, beyond that for arrivals.
-        late_catch_up: Capacity that clears `late_work`, too.
         recently_needed: Maximum of the needed machines over the last moments;
             other pools get none of these machines.
         peak_needed: The same over a longer time; none of these machines is
@@ -76,9 +74,7 @@
     unplaced: int = 0
     waiting_lasting: Resources = dataclasses.field(default_factory=Resources)
     waiting_work: Work = NO_WORK
-    late_work: Work = NO_WORK
     catch_up: Resources = dataclasses.field(default_factory=Resources)
-    late_catch_up: Resources = dataclasses.field(default_factory=Resources)
     recently_needed: int = 0
     peak_needed: int = 0
     surge: int = 0
@@ -150,12 +146,10 @@
     if load.is_spare:
         return load.soft_minimum
     total = load.running.plus(load.waiting).plus(load.late)
-    flow = load.lasting.plus(load.arriving).plus(load.late_catch_up)
     return max(
         load.soft_minimum,
         needed_machines(load, capacity),
         _machines_for(total, capacity),
-        _machines_for(flow, capacity),
     )
 
 
--- a/galenarill/pools/tests/test_demand.py
+++ b/galenarill/pools/tests/test_demand.py
@@ -6,7 +6,6 @@
     OccupancyRatio,
     PoolLoad,
     catch_up_capacity,
-    desired_machines,
     divide_reserve,
     needed_machines,
 )
@@ -38,13 +37,6 @@
     assert behind == Resources()
 
 
-def test_late_work_claims_no_machines_of_other_pools():
-    """Guards against machines that late work takes from work in time."""
-    load = PoolLoad("p", late_catch_up=Resources(320_000))
-    assert needed_machines(load, CAPACITY) == 0
-    assert desired_machines(load, CAPACITY) > 9
-
-
 def test_overhead_of_short_tasks_counts():
     """Guards against pools that are too small by the overhead of each run."""
     ratio = OccupancyRatio()
