--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -46,10 +46,13 @@
 from galenarill.placement import RecentUsage, estimated_seconds, objective_at
 from galenarill.pools import (
     ARRIVAL_SECONDS,
+    MACHINE_ARRIVAL_SECONDS,
     ArrivalRate,
     Machine,
     PoolLoad,
     Work,
+    add_work,
+    scaled,
 )
 from galenarill.routing import Queue, Resources
 from galenarill.telemetry import meter
@@ -78,9 +81,8 @@
 # Time for which an ended job is kept beyond the configured retention, in
 # seconds.
 RETENTION_MARGIN_SECONDS = 30.0
-# Time from the decision to move a machine until its worker accepts starts, in
-# seconds. Most of it is the platform's move.
-MACHINE_ARRIVAL_SECONDS = 2.0
+# Number of the latest jobs of a pool over which their mean work is taken.
+MEAN_WORK_JOBS = 64
 
 
 class Leader(AdmissionPolicy):
@@ -120,12 +122,15 @@
         """
         options = options or SchedulerOptions()
         self._state = state
+        self._options = options
         # Jobs that are not done, failed or cancelled.
         self._active_jobs: set[JobId] = set()
         # Completion objective of each active job, in Unix seconds.
         self._objective_at: dict[JobId, float] = {}
         # Work of the jobs that arrived lately, by pool.
-        self._arrivals = ArrivalRate()
+        self._arrivals = ArrivalRate(
+            MEAN_WORK_JOBS if options.anticipates_bursts else 0
+        )
         # Active jobs that may have ready tasks because time passes.
         self._timed_jobs: set[JobId] = set()
         self._registry = registry
@@ -213,6 +218,15 @@
         """Number of the term."""
         return self._context.term_number
 
+    @property
+    def anticipates_bursts(self) -> bool:
+        """Whether pools are sized by their backlog and by past bursts."""
+        return self._options.anticipates_bursts
+
+    def occupancy_ratio(self, pool: PoolId) -> float:
+        """Return how long runs occupy workers in relation to estimates."""
+        return self._end_committer.occupancy.of(pool)
+
     @property
     def runs(self) -> RunIndex:
         """Index of the runs that may be in progress."""
@@ -444,6 +458,20 @@
         now = monotonic_now()
         for pool, load in loads.items():
             load.arriving = self._arrivals.capacity(pool, now)
+            if self.anticipates_bursts:
+                self._add_backlog(load)
+
+    def _add_backlog(self, load: PoolLoad) -> None:
+        """Add the work that waits, and count the occupancy of workers."""
+        ratio = self.occupancy_ratio(load.pool)
+        load.arriving = scaled(load.arriving, ratio)
+        for waiting in self._placer.unplaced.get(load.pool, ()):
+            if waiting.step.is_long_running or waiting.is_late:
+                continue
+            seconds = ratio * waiting.count * estimated_seconds(waiting.step)
+            need = waiting.step.reserved
+            work = need.cpu * seconds, need.mem_mb * seconds, need.gpu * seconds
+            load.waiting_work = add_work(load.waiting_work, work)
 
     def _evacuated_workers(self) -> frozenset[WorkerId]:
         zones = self._state.evacuated_zones
@@ -456,7 +484,9 @@
         )
 
     async def _tick(self) -> None:
+        planned_at = monotonic_now() + TICK_SECONDS
         await asyncio.sleep(TICK_SECONDS)
+        self._context.note_loop_delay(monotonic_now() - planned_at)
         if not self._context.has_leader_lease():
             return
         now = monotonic_now()
--- a/galenarill/coordinator/options.py
+++ b/galenarill/coordinator/options.py
@@ -19,12 +19,15 @@
         useful_lateness: Multiple of its objective for which a job is useful,
             or 0 to reject none.
         looks_ahead: Whether placement uses expected ends of runs.
+        anticipates_bursts: Whether pools are sized by their backlog and by how
+            long runs occupy workers.
     """
 
     timeouts: OrderTimeouts = dataclasses.field(default_factory=OrderTimeouts)
     share_half_life_seconds: float = 0.0
     useful_lateness: float = 0.0
     looks_ahead: bool = False
+    anticipates_bursts: bool = False
 
 
 def scheduler_options(settings: NodeSettings) -> SchedulerOptions:
@@ -34,4 +37,5 @@
         share_half_life_seconds=settings.share_half_life_seconds,
         useful_lateness=settings.useful_lateness,
         looks_ahead=settings.looks_ahead,
+        anticipates_bursts=settings.anticipates_bursts,
     )
--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -37,6 +37,27 @@
     assert now.count("pool") == 9
 
 
+def test_the_reserve_follows_the_bursts_of_pools(make):
+    """Guards against reserves that stay where the last burst was.
+
+    The sum of the reserves stays the same, apart from rounding.
+    """
+    pools = {f"m{n}": "spare" for n in range(179)} | {"n0": "pool"}
+    simulation, machines = make(
+        pools,
+        seconds_of=lambda *_: (1.0, "done"),
+        other_pools=("other",),
+        leader_options={"anticipates_bursts": True},
+    )
+    simulation.advance(4)
+    simulation.submit("j", count=400, estimate_ms=1000)
+    simulation.advance(12)
+    assert simulation.status("j") is JobStatus.COMPLETED
+    now = [machine.pool for machine in machines.machines.values()]
+    assert now.count("pool") + now.count("other") in (18, 19)
+    assert now.count("other") > 9 > now.count("pool")
+
+
 def test_a_pool_with_a_shortage_takes_idle_machines_of_others(make):
     """The spare pool is empty; the other pool keeps three idle machines."""
     pools = {f"a{n}": "pool" for n in range(3)}
