Keep reservations while a pool has cold workers

The second pass, which adds the cold workers, packed without the book of reservations, so that tasks took what was reserved on all other workers.

--- a/galenarill/coordinator/tests/test_reservations.py
+++ b/galenarill/coordinator/tests/test_reservations.py
@@ -4,7 +4,7 @@
 
 from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.tests.simulation import Simulation
-from galenarill.jobs import JobStatus, Step
+from galenarill.jobs import EvacuateZone, JobStatus, RestoreZone, Step
 from galenarill.routing import Resources
 
 LARGE = Step(1, Resources(4), estimate_ms=1000)
@@ -46,7 +46,19 @@
 
 
 def started(simulation):
-    return [b for b in simulation.network.history if b.task == "large.0.0.0"]
+    return [
+        b for b in simulation.network.history if b.task.startswith("large.")
+    ]
+
+
+def seconds_of(task, run):
+    """Return the end of a run; those of small tasks are spread evenly."""
+    if task.startswith("lasting."):
+        return 1000.0, "done"
+    if task.startswith("large."):
+        return 1.0, "done"
+    number = int(task[1:].partition(".")[0])
+    return 0.6 + number * 37 % 80 / 100, "done"
 
 
 def test_a_large_task_starts_within_the_bound(simulation, caplog):
@@ -111,3 +123,32 @@
     submit_small(simulation, BOUND_SECONDS + 0.5)
     assert started(simulation)
     simulation.check()
+
+
+def test_reservations_hold_while_a_worker_is_cold():
+    """Guards against small tasks that take reserved capacity meanwhile.
+
+    Tasks that fit on no warm worker are offered the cold ones in a second
+    pass, which sees the warm workers again.
+    """
+    simulation = Simulation(
+        workers=3,
+        looks_ahead=True,
+        seconds_of=seconds_of,
+    )
+    simulation.numbers = iter(range(10_000))
+    # Keeps the large task off the cold worker.
+    simulation.submit_step(
+        "lasting", Step(1, Resources(1), is_long_running=True)
+    )
+    simulation.advance(0.5)
+    for change in (EvacuateZone, RestoreZone):
+        command = change("a", simulation.loop.time())
+        simulation.call(simulation.apply, [command])
+    (lasting,) = simulation.network.history
+    cold = simulation.network.workers[f"{lasting.worker}:1"]
+    simulation.call(simulation.report, cold.report_again(cold_left_ms=9e3))
+    wait_for_reservation(simulation)
+    submit_small(simulation, BOUND_SECONDS - 0.7)
+    assert started(simulation)
+    simulation.close()
