Reserve nothing for a gang that exceeds its tenant's limit

Only one member was compared with the limit. Capacity stayed reserved for a gang that could not start, for as long as its tenant's other tasks ran.

--- a/galenarill/coordinator/tests/test_reservations.py
+++ b/galenarill/coordinator/tests/test_reservations.py
@@ -125,6 +125,29 @@
     simulation.check()
 
 
+def test_a_gang_over_its_tenants_limit_gets_no_reservation():
+    """Guards against capacity kept for a gang that must not start.
+
+    A single member of it would stay within the limit.
+    """
+    simulation = Simulation(
+        workers=3, limit=5, looks_ahead=True, seconds_of=seconds_of
+    )
+    simulation.numbers = iter(range(10_000))
+    lasting = Step(1, Resources(2), is_long_running=True)
+    simulation.submit_step("lasting", lasting, tenant="t")
+    submit_small(simulation, 1)
+    gang = Step(2, Resources(2), estimate_ms=1000, is_gang=True)
+    simulation.submit_step("large", gang, tenant="t")
+    submit_small(simulation, 2)
+    assert reserved(simulation) is None
+    # It starts when the limit allows the whole gang.
+    simulation.cancel("lasting")
+    submit_small(simulation, BOUND_SECONDS + 1)
+    assert started(simulation)
+    simulation.close()
+
+
 def test_reservations_hold_while_a_worker_is_cold():
     """Guards against small tasks that take reserved capacity meanwhile.
 
