Try tasks that fitted nowhere again beside the first others

A task that once fitted on no worker was looked at only after all tasks that had always fitted. Under overload there are always eight of those, so that a long-running task or a gang never got a reservation, even when it fitted.

--- a/galenarill/coordinator/holding.py
+++ b/galenarill/coordinator/holding.py
@@ -4,7 +4,8 @@
 import dataclasses
 import itertools
 import logging
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterator
 
 from galenarill.common import (
     JobId,
@@ -52,6 +53,9 @@
 RESERVATION_DELAY_SECONDS = 0.5
 # Most tasks of a pool with a reservation.
 MAX_RESERVED_TASKS = 8
+# Most steps of a pool that last fitted nowhere and are looked at again when its
+# reservations are chosen. Bounds the cost of a pool with many such steps.
+MAX_RETRIED_STEPS = 8
 # Time for which the reservations of a pool are kept while its workers accept
 # starts and the tasks wait, in seconds. Bounds the cost with all pools full,
 # and is shorter than the time between two readings of progress.
@@ -235,10 +239,16 @@
     Attributes:
         reservations: Reservations, in the order in which they were made.
         expires_at: When they are chosen anew, on the monotonic clock.
+        unfitting: Steps that fitted on no worker when last looked at.
+        turns: Turns of these steps.
     """
 
-    reservations: list[Reservation]
-    expires_at: float
+    reservations: list[Reservation] = dataclasses.field(default_factory=list)
+    expires_at: float = -math.inf
+    unfitting: set[StepId] = dataclasses.field(default_factory=set)
+    turns: Turns = dataclasses.field(
+        default_factory=lambda: Turns(MAX_RETRIED_STEPS)
+    )
 
 
 class WorkerReservations(CapacityKeeper):
@@ -256,7 +266,6 @@
         # Since when tasks of each step have found no worker.
         self._waiting_since: dict[StepId, float] = {}
         self._pools: dict[PoolId, _PoolReservations] = {}
-        self._turns: dict[PoolId, Turns] = {}
         # Reservations of the latest round, less those that it used.
         self._book = ReservationBook()
         # Worker of each reservation that has been logged.
@@ -275,7 +284,7 @@
 
     def clear(self) -> None:
         """Reserve nothing, because no task waits."""
-        self._waiting_since, self._pools, self._turns = {}, {}, {}
+        self._waiting_since, self._pools = {}, {}
         self._log([])
 
     def update(
@@ -303,11 +312,6 @@
             pool: self._keep_or_choose(pool, groups, facts, now)
             for pool, groups in overdue.items()
         }
-        self._turns = {
-            pool: turns
-            for pool, turns in self._turns.items()
-            if pool in self._pools
-        }
         reservations = [
             reservation
             for chosen in self._pools.values()
@@ -334,9 +338,9 @@
         now: float,
     ) -> _PoolReservations:
         """Return the reservations of a pool with overdue groups."""
-        known = self._pools.get(pool)
+        known = self._pools.get(pool, _PoolReservations())
         members = facts.available.get(pool, [])
-        if known is not None and now < known.expires_at:
+        if now < known.expires_at:
             known.reservations = [
                 reservation
                 for reservation in known.reservations
@@ -349,33 +353,56 @@
                 for reservation in known.reservations
             ):
                 return known
+        self._choose(known, {pool: members}, groups, facts, now)
+        known.expires_at = now + RESERVATION_SECONDS
+        return known
+
+    def _choose(
+        self,
+        known: _PoolReservations,
+        available: dict[PoolId, list[AvailableWorker]],
+        groups: list[TaskGroup],
+        facts: PlacementFacts,
+        now: float,
+    ) -> None:
+        """Choose the reservations of a pool anew.
+
+        Steps that fitted nowhere are looked at in turns, in addition to the
+        first others. Neither keeps the other from a reservation.
+        """
         wall_time = wall_now()
         owners = {owner for owner, _ in self._logged}
         groups.sort(
             key=lambda group: _order(group, owners, facts.usage, wall_time)
         )
-        turns = self._turns.setdefault(pool, Turns(MAX_RESERVED_TASKS))
         by_id = {group.step_id: group for group in groups}
-        taken = turns.take(by_id)
-        tasks = (
-            (by_id[step_id], key)
-            for step_id in taken
-            for key in by_id[step_id].keys
+        known.unfitting &= by_id.keys()
+        retried = known.turns.take(
+            step_id for step_id in by_id if step_id in known.unfitting
         )
-        candidates = [
-            facts.make_candidate(group, key)
-            for group, key in itertools.islice(tasks, MAX_RESERVED_TASKS)
-        ]
-        chosen = choose_reservations(
-            candidates,
-            {pool: members},
+        others = (s for s in by_id if s not in known.unfitting)
+        taken = {*retried, *itertools.islice(others, MAX_RESERVED_TASKS)}
+        examined: set[StepId] = set()
+
+        def candidates() -> Iterator[Candidate]:
+            for step_id, group in by_id.items():
+                if step_id in taken:
+                    for key in group.keys[:MAX_RESERVED_TASKS]:
+                        examined.add(step_id)
+                        yield facts.make_candidate(group, key)
+
+        known.reservations = choose_reservations(
+            candidates(),
+            available,
             Horizon(now, lambda worker: self._releases(worker, facts, now)),
             self._logged,
+            MAX_RESERVED_TASKS,
         )
-        helped = {reservation.owner for reservation in chosen}
-        for step_id in {candidate.step_id for candidate in candidates} - helped:
-            turns.pass_over(step_id)
-        return _PoolReservations(chosen, now + RESERVATION_SECONDS)
+        helped = {reservation.owner for reservation in known.reservations}
+        for step_id in retried:
+            if step_id in examined - helped:
+                known.turns.pass_over(step_id)
+        known.unfitting = (known.unfitting | examined) - helped
 
     def _releases(
         self, worker: WorkerId, facts: PlacementFacts, now: float
--- a/galenarill/coordinator/tests/test_reservations.py
+++ b/galenarill/coordinator/tests/test_reservations.py
@@ -175,3 +175,21 @@
     submit_small(simulation, BOUND_SECONDS - 0.7)
     assert started(simulation)
     simulation.close()
+
+
+def test_a_task_that_fitted_nowhere_gets_a_reservation_once_it_fits():
+    """Guards against a task that stays behind all that wait in overload."""
+    simulation = Simulation(workers=3, looks_ahead=True, seconds_of=seconds_of)
+    simulation.numbers = iter(range(10_000))
+    options = {"is_long_running": True}
+    lasting = Step(3, Resources(1), max_per_worker=1, **options)
+    simulation.submit_step("lasting", lasting)
+    simulation.advance(0.5)
+    simulation.submit_step("large", Step(1, Resources(4), **options))
+    submit_small(simulation, 4, 0.05)
+    assert reserved(simulation) is None
+    simulation.cancel("lasting")
+    # Until reservations are chosen anew, the longest task, and some rounds.
+    submit_small(simulation, 0.1 + 1.4 + 0.4, 0.05)
+    assert started(simulation)
+    simulation.close()
--- a/galenarill/placement/reservations.py
+++ b/galenarill/placement/reservations.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import math
+import sys
 from collections.abc import Collection, Iterable
 
 from galenarill.common import PoolId, WorkerId
@@ -30,6 +31,7 @@
     available: dict[PoolId, list[AvailableWorker]],
     horizon: Horizon,
     previous: Collection[tuple[StepId, WorkerId]] = (),
+    limit: int = sys.maxsize,
 ) -> list[Reservation]:
     """Reserve for each task the worker on which it fits earliest.
 
@@ -46,6 +48,8 @@
             reserved.
         previous: Step and worker of the reservations made before. A task keeps
             its worker unless it fits considerably earlier on another one.
+        limit: Most tasks and gangs that get a reservation. Those after the last
+            of them are not looked at.
 
     Returns:
         The reservations, several for a gang. Tasks that fit on no worker even
@@ -55,6 +59,7 @@
     healthy: dict[PoolId, list[AvailableWorker]] = {}
     # Tasks of each step by worker, with those that have a reservation.
     siblings: dict[StepId, dict[WorkerId, int]] = {}
+    reserved = 0
     for waiting_task in waiting:
         candidate = dataclasses.replace(
             waiting_task,
@@ -91,6 +96,9 @@
                     horizon.free_at(by_id[worker], begins_at),
                 )
             )
+        reserved += 1
+        if reserved == limit:
+            break
     return reservations
 
 
