--- a/galenarill/coordinator/holding.py
+++ b/galenarill/coordinator/holding.py
@@ -270,6 +270,8 @@
         self._book = ReservationBook()
         # Worker of each reservation that has been logged.
         self._logged: set[tuple[StepId, WorkerId]] = set()
+        # It still has the number of an earlier term of this process.
+        _RESERVED_WORKERS.set(0)
 
     @property
     def workers(self) -> frozenset[WorkerId]:
--- a/galenarill/coordinator/tests/test_reservations.py
+++ b/galenarill/coordinator/tests/test_reservations.py
@@ -1,7 +1,10 @@
 """The leader reserves capacity for tasks that have waited."""
 
+import types
+
 import pytest
 
+from galenarill.coordinator import holding
 from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.tests.simulation import Simulation
 from galenarill.jobs import EvacuateZone, JobStatus, RestoreZone, Step
@@ -193,3 +196,14 @@
     submit_small(simulation, 0.1 + 1.4 + 0.4, 0.05)
     assert started(simulation)
     simulation.close()
+
+
+def test_the_gauge_starts_at_zero_in_each_term(simulation, monkeypatch):
+    """Guards against the number of an earlier term of the same process."""
+    values = []
+    gauge = types.SimpleNamespace(set=values.append)
+    monkeypatch.setattr(holding, "_RESERVED_WORKERS", gauge)
+    wait_for_reservation(simulation)
+    assert values[-1] == 1
+    simulation.take_over()
+    assert values[-1] == 0
