--- a/galenarill/coordinator/progress.py
+++ b/galenarill/coordinator/progress.py
@@ -98,9 +98,10 @@
             now = monotonic_now()
             seconds = now - run.phase_since
             self._durations.setdefault(step_key, []).append((worker, seconds))
-            self.durations.record(
-                self._duration_key(run), run.step, seconds, now
-            )
+            if not run.step.is_long_running:
+                self.durations.record(
+                    self._duration_key(run), run.step, seconds, now
+                )
 
     def expected_end(self, run: TrackedRun, now: float) -> float:
         """Return when a run will probably end, on the monotonic clock.
--- a/galenarill/coordinator/tests/test_reservations.py
+++ b/galenarill/coordinator/tests/test_reservations.py
@@ -8,6 +8,7 @@
 from galenarill.coordinator.cordons import CordonReason
 from galenarill.coordinator.tests.simulation import Simulation
 from galenarill.jobs import EvacuateZone, JobStatus, RestoreZone, Step
+from galenarill.placement import duration_key
 from galenarill.routing import Resources
 
 LARGE = Step(1, Resources(4), estimate_ms=1000)
@@ -207,3 +208,20 @@
     assert values[-1] == 1
     simulation.take_over()
     assert values[-1] == 0
+
+
+def test_long_running_tasks_do_not_change_expected_durations():
+    """Guards against expected ends that are late by a long-running task.
+
+    Such a task that ends by itself is started again.
+    """
+    simulation = Simulation(
+        workers=3, looks_ahead=True, seconds_of=lambda *_: (5.0, "done")
+    )
+    simulation.submit("long", 6, estimate_ms=1000, is_long_running=True)
+    simulation.advance(7)
+    assert "done" in {begun.how for begun in simulation.network.history}
+    key = duration_key(simulation.state.jobs["long"], LARGE)
+    durations = simulation.leader._progress_monitor.durations
+    assert durations.expected_seconds(key, LARGE) == 1.0
+    simulation.close()
