Reject a delayed submission of a job that was just rejected

Cause: an attempt that is delayed in one gateway could arrive after the caller was told through another that the job will not run, and be accepted. Change: for 1 s, before which no caller is told to return, the job is rejected again, unless the configuration has changed. Tested: admission, with a delayed submission.

--- a/galenarill/admission/retries.py
+++ b/galenarill/admission/retries.py
@@ -12,6 +12,8 @@
 
 MAX_REMEMBERED = 10_000
 REMEMBERED_SECONDS = 30.0
+# Shortest time given, in seconds.
+MIN_RETRY_SECONDS = 1.0
 # Longest time given, in seconds. A caller that returns then, or up to 10 s
 # later, is still remembered.
 MAX_RETRY_SECONDS = 20
@@ -101,7 +103,7 @@
             now: Monotonic time in seconds.
 
         Returns:
-            Whole seconds, from 1 to `MAX_RETRY_SECONDS`.
+            Whole seconds, from `MIN_RETRY_SECONDS` to `MAX_RETRY_SECONDS`.
         """
         self._expire(now)
         known = self._rejected.get(job)
@@ -112,7 +114,8 @@
         key = int(first_at), share, first_at, self._last_number, job
         position = bisect.bisect_left(line.keys, key)
         seconds = math.ceil(
-            max(earliest_seconds, 1.0) + position * spacing_seconds
+            max(earliest_seconds, MIN_RETRY_SECONDS)
+            + position * spacing_seconds
         )
         if seconds > MAX_RETRY_SECONDS:
             seconds = min(
@@ -146,6 +149,17 @@
         self.forget(last[-1])
         return True
 
+    def was_just_rejected(self, job: JobId, now: float) -> bool:
+        """Return whether a job can't be back at the time that it was told.
+
+        Such a submission was delayed on its way, and its caller has been told
+        that the job will not run.
+        """
+        rejected = self._rejected.get(job)
+        return (
+            rejected is not None and now < rejected.last_at + MIN_RETRY_SECONDS
+        )
+
     def forget(self, job: JobId) -> None:
         """Forget a job, because it is accepted."""
         rejected = self._rejected.pop(job, None)
--- a/galenarill/coordinator/admitting.py
+++ b/galenarill/coordinator/admitting.py
@@ -143,6 +143,10 @@
         ):
             return Admission()
         routing = self._context.state.routing
+        if self._routing is routing and self._schedule.was_just_rejected(
+            job_id, now
+        ):
+            return Admission(retry_after_seconds=1)
         if now >= self._read_again_at or self._routing is not routing:
             self._routing = routing
             self._read(now)
--- a/galenarill/coordinator/tests/test_admission.py
+++ b/galenarill/coordinator/tests/test_admission.py
@@ -92,6 +92,24 @@
     assert load.simulation.state.jobs.keys() == accepted
 
 
+def test_a_submission_that_arrives_after_its_rejection_is_rejected(load):
+    """Guards against a job that runs after its caller was told that it won't.
+
+    The first attempt is delayed in one gateway while the second one, through
+    another, is rejected. Then the tenant cancels what it had waiting.
+    """
+    load.play(load.send(3, 30))
+    job = load.rejected("j")[-1]
+    for other in list(load.simulation.state.jobs):
+        load.simulation.cancel(other)
+    load.simulation.advance(0.3)
+    request = SubmitJob(HOST, "/a/", "key", job, SPEC)
+    answer = load.cluster.handler.answer
+    assert load.simulation.run(answer(1, request)).code is Code.TOO_LATE
+    load.simulation.advance(1.0)
+    assert load.simulation.run(answer(1, request)).code is Code.DONE
+
+
 def test_in_a_short_overload_no_job_is_rejected(load):
     """Guards against rejections of jobs that are only late.
 
