Quote the zone in the commands of `galenarill zone`

Cause: the name was a part of the URL as it was typed. A name with "/", "?" or "#" addressed another change: `zone evacuate az-a/restoration#` restored az-a. An answer that isn't JSON, as for a path that an entry VM of an earlier release doesn't know, ended the command with a traceback.

Tested: the new tests fail without the change, except for a plain name.

--- a/galenarill/cli/client.py
+++ b/galenarill/cli/client.py
@@ -172,7 +172,13 @@
             headers={**self._headers, **headers},
         ) as response:
             text = await response.text()
-        answer = json.loads(text, parse_float=Decimal)
+        try:
+            answer = json.loads(text, parse_float=Decimal)
+        except ValueError as error:
+            # An entry VM of an earlier release doesn't know the path.
+            raise CommandRefusedError(
+                f"{target} answers {response.status}: {text[:200]}"
+            ) from error
         if response.status == 200:
             return answer
         detail = answer.get("detail", text)
--- a/galenarill/cli/zones.py
+++ b/galenarill/cli/zones.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import datetime
+import urllib.parse
 
 import cyclopts
 import msgspec
@@ -30,7 +31,7 @@
         zone: Id of the availability zone.
         reason: Reason to record in the history.
     """
-    outcome = _submit_change(f"zones/{zone}/evacuation", {"reason": reason})
+    outcome = _submit_change(zone, "evacuation", {"reason": reason})
     if unconfirmed := outcome["unconfirmed"]:
         raise GalenarillError(
             f"the order is committed; no confirmation by "
@@ -48,10 +49,13 @@
     Args:
         zone: Id of the availability zone.
     """
-    _submit_change(f"zones/{zone}/restoration", {})
+    _submit_change(zone, "restoration", {})
 
 
-def _submit_change(path: str, body: dict) -> dict:
+def _submit_change(zone: str, change: str, body: dict) -> dict:
+    # Unquoted, a name such as "az-a/restoration#" would address another change.
+    path = f"zones/{urllib.parse.quote(zone, safe='')}/{change}"
+
     async def run() -> dict:
         async with open_client() as client:
             return await client.change(path, body)
