Keep the deadline of calls on the leader itself

Cause: a call that the leader serves itself ignored its deadline. A leader that has lost its majority steps down after up to 1.2 s, so an operator who asked it to evacuate a zone waited longer than the 0.9 s after which a coordinator answers 503. The same holds for configurations, waves and drains.

The request goes on after the deadline, because its entry may be committed.

--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -9,6 +9,7 @@
     Call,
     Code,
     LeaderClient,
+    NoAnswerError,
     Presence,
     Reply,
     ReportWorker,
@@ -228,7 +229,12 @@
         """Answer a request locally, or forward it to the leader."""
         is_unsettled = False
         if self._can_serve_reads():
-            reply = await self._request_handler.answer(0, request)
+            answer = self._spawn(self._request_handler.answer(0, request))
+            # It goes on after the deadline, since it may still be carried out.
+            await asyncio.wait({answer}, timeout=deadline - monotonic_now())
+            if not answer.done():
+                raise NoAnswerError("not committed before the deadline")
+            reply = answer.result()
             if reply.code not in (Code.NOT_LEADING, Code.UNSETTLED):
                 return reply
             is_unsettled = reply.code is Code.UNSETTLED
@@ -375,10 +381,11 @@
         reply = await self._request_handler.answer(call.call, call.request)
         self._mesh.send(peer, reply)
 
-    def _spawn(self, coroutine) -> None:
+    def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def _presence(self) -> Presence:
         return Presence(
