Answer for no unknown zone before a term begins

Cause: the time since which a coordinator leads was that of its earlier term until the next one began, so an order that arrived in between could be answered with 404 although the zone may exist.

Tested: the new test fails without the change.

--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -283,10 +283,11 @@
             or any(machine.zone == zone for machine in machines)
         ):
             return True
-        is_complete = (
-            settings.zones
-            or monotonic_now() > self._led_since + ZONES_KNOWN_SECONDS
+        has_led_long = (
+            self._leader is not None
+            and monotonic_now() > self._led_since + ZONES_KNOWN_SECONDS
         )
+        is_complete = settings.zones or has_led_long
         return False if is_complete else None
 
     def _apply_report(self, report: WorkerReport) -> None:
--- a/galenarill/coordinator/tests/test_node.py
+++ b/galenarill/coordinator/tests/test_node.py
@@ -19,6 +19,9 @@
     node = Coordinator.__new__(Coordinator)
     node._tasks = set()
     node._can_serve_reads = lambda: True
+    node._settings = types.SimpleNamespace(zones=[], availability_zone="a")
+    node._registry = types.SimpleNamespace(workers={})
+    node._leader = node._fleet = None
     return node
 
 
@@ -44,3 +47,12 @@
         assert ended == [REQUEST]
 
     run_in_virtual_time(scenario)
+
+
+def test_a_leader_that_has_just_been_elected_again_knows_no_zone_yet(node):
+    """Guards against a 404 for a real zone, by the age of an earlier term."""
+    node._led_since = float("-inf")
+    assert node._knows_zone("z") is None
+    assert node._knows_zone("a")
+    node._leader = types.SimpleNamespace(sessions={})
+    assert node._knows_zone("z") is False
