Keep reservations when cold workers are packed

Cause: tasks that found no place among the warm workers of a pool were placed in a second pass over all its workers, which ignored the reservations of the first one. With `looks_ahead`, small tasks could then take capacity of a warm worker that a large task waits for. It applies only while a restored zone has cold workers.

Tested: the new test fails without the change.

--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -348,7 +348,7 @@
                 available[pool] += members
             placements += place_groups(
                 [group for group in waiting if not group.is_trial],
-                Packer(available, quotas, held),
+                Packer(available, quotas, held, reservations, now),
                 usage,
                 wall_time,
                 make_candidate,
--- a/galenarill/coordinator/tests/test_evacuation.py
+++ b/galenarill/coordinator/tests/test_evacuation.py
@@ -7,7 +7,14 @@
 
 from galenarill.coordinator.tests.simulation import Simulation
 from galenarill.coordinator.tests.test_leader_machine import LeaderMachine
-from galenarill.jobs import EvacuateZone, JobStatus, RestoreZone, StartRun
+from galenarill.jobs import (
+    EvacuateZone,
+    JobStatus,
+    RestoreZone,
+    StartRun,
+    Step,
+)
+from galenarill.routing import Resources
 
 # Zone "a" has w0 only.
 ZONES = {"w1": "b", "w2": "b"}
@@ -167,6 +174,39 @@
     assert simulation.sent[-1] == ("k.0.0.0", 1, "w0")
 
 
+def test_cold_workers_leave_the_reservations_of_warm_ones(make_zones):
+    """Guards against small tasks that delay a large one after a restoration.
+
+    They find room on no warm worker, and are tried again with the cold ones.
+    """
+    seconds = {"brief": 1.0, "rest": 3.0, "cold": 9.0, "late": 9.0}
+    simulation = make_zones(
+        workers=2,
+        seconds_of=lambda task, run: (
+            seconds.get(task.split(".")[0], 1),
+            "done",
+        ),
+        looks_ahead=True,
+    )
+    simulation.advance(0.5)
+    change(simulation, EvacuateZone)
+    change(simulation, RestoreZone)
+    cold = simulation.network.workers["w0:1"]
+    simulation.call(simulation.report, cold.report_again(cold_left_ms=9000.0))
+    for job, count in (("brief", 1), ("rest", 3), ("cold", 1)):
+        estimate_ms = 1000 * seconds[job]
+        simulation.submit(job, count, estimate_ms=estimate_ms)
+        simulation.advance(0.1)
+    simulation.submit_step("large", Step(1, Resources(4), estimate_ms=1000))
+    simulation.advance(1.0)
+    # One of w1's four cores is free, and three of w0's.
+    simulation.submit("late", 4, estimate_ms=9000)
+    # Less than the time after which a small task gets a reservation itself.
+    simulation.advance(0.4)
+    late = [worker for task, _, worker in simulation.sent if "late" in task]
+    assert late == ["w0"] * 3
+
+
 class EvacuationMachine(LeaderMachine):
     """The plays of the leader with orders for zones and with snapshots."""
 
