Test the stops of withheld starts, and repeated orders

The tests passed also if a run with an unanswered start was released without a stop in an evacuated zone, if an inherited one was, if every attempt of a start followed at once, if a repeated renewal acknowledged ends, and if cold workers were avoided in zones that were not restored.

--- a/galenarill/coordinator/tests/test_evacuation.py
+++ b/galenarill/coordinator/tests/test_evacuation.py
@@ -35,9 +35,12 @@
 
 
 def watch_starts(simulation):
-    """Record each start order, and those sent to evacuated zones."""
-    send = simulation.network.start
-    simulation.sent, simulation.violations = [], []
+    """Record each start order, those sent to evacuated zones, and stops.
+
+    A stop is recorded as the task and the run that it names.
+    """
+    send, send_stop = simulation.network.start, simulation.network.stop
+    simulation.sent, simulation.violations, simulation.stops = [], [], []
     simulation.evacuated = set()
 
     async def start(worker, order, timeout_seconds):
@@ -47,7 +50,11 @@
             simulation.violations.append((simulation.loop.time(), *sent))
         return await send(worker, order, timeout_seconds)
 
-    simulation.network.start = start
+    async def stop(worker, task, run, token):
+        simulation.stops.append((task, run))
+        return await send_stop(worker, task, run, token)
+
+    simulation.network.start, simulation.network.stop = start, stop
 
 
 def change(simulation, command, zone="a"):
@@ -108,12 +115,16 @@
     simulation.network.lateness = 0.0
     simulation.advance(30)
     assert [s for s in simulation.sent if s[-1] == "w0"] == in_zone
+    assert {(task, run) for task, run, _ in in_zone} <= {*simulation.stops}
     assert simulation.status("j") is JobStatus.COMPLETED
     simulation.check()
 
 
 def test_an_inherited_run_that_must_be_sent_again_is_not(make_zones):
-    """The next leader finds a committed run that no worker lists."""
+    """The next leader finds a committed run that no worker lists.
+
+    The earlier one may have sent its start, which a stop has to bar.
+    """
     simulation = make_zones(workers=2)
     start = StartRun("j", 0, 0, 0, 1, ((0, "w0", born(simulation, "w0")),))
 
@@ -127,6 +138,7 @@
     simulation.submit("j", 1)
     simulation.run(commit_and_lose_the_lead())
     simulation.advance(8)
+    assert simulation.stops == [("j.0.0.0", 1)]
     assert simulation.sent == [("j.0.0.0", 2, "w1")]
     assert simulation.status("j") is JobStatus.COMPLETED
 
@@ -174,6 +186,21 @@
     assert simulation.sent[-1] == ("k.0.0.0", 1, "w0")
 
 
+def test_a_cold_worker_is_used_as_before_if_its_zone_was_not_restored(
+    make_zones,
+):
+    """Guards against another placement in zones without evacuations."""
+    simulation = make_zones(workers=2)
+    simulation.advance(0.5)
+    change(simulation, EvacuateZone, "b")
+    change(simulation, RestoreZone, "b")
+    cold = simulation.network.workers["w0:1"]
+    simulation.call(simulation.report, cold.report_again(cold_left_ms=9000.0))
+    simulation.submit("j", 1)
+    simulation.advance(0.5)
+    assert simulation.sent == [("j.0.0.0", 1, "w0")]
+
+
 def test_cold_workers_leave_the_reservations_of_warm_ones(make_zones):
     """Guards against small tasks that delay a large one after a restoration.
 
--- a/galenarill/coordinator/tests/test_unanswered_orders.py
+++ b/galenarill/coordinator/tests/test_unanswered_orders.py
@@ -1,6 +1,7 @@
 """Tests of orders that workers leave unanswered."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -58,6 +59,22 @@
     assert len(simulation.network.history) == 1
 
 
+def test_only_the_second_attempt_follows_at_once(make):
+    """Guards against a stream of orders to a worker that answers none."""
+    simulation, sent_at = make(), []
+
+    def is_dropped():
+        sent_at.append(simulation.loop.time())
+        return True
+
+    drop(simulation.network, "start", is_dropped)
+    simulation.submit("j", count=1)
+    simulation.advance(2.5)
+    first, *gaps = (b - a for a, b in itertools.pairwise(sent_at))
+    assert first == pytest.approx(REPEAT_SECONDS, abs=0.02)
+    assert gaps[:2] == pytest.approx([0.85, 0.85], abs=0.02)
+
+
 def test_an_end_is_seen_soon_after_a_lost_renewal(make):
     """Guards against ends that one lost renewal hides for over a second."""
     simulation = make()
@@ -85,6 +102,30 @@
     assert lost_after[250] <= lost_after[0] + 0.1
 
 
+def test_a_repeated_renewal_grants_and_acknowledges_nothing(make):
+    """Guards against a lost end: another incarnation may answer.
+
+    It numbers its ends anew, and drops those that are acknowledged.
+    """
+    simulation = make()
+    simulation.submit("j", count=1)
+    simulation.advance(2)
+    renew, calls = simulation.network.renew, []
+
+    async def record(worker, token, *arguments):
+        calls.append(arguments)
+        if len(calls) == 1:
+            await asyncio.sleep(arguments[-1])
+            return OrderAnswer(Verdict.NO_ANSWER)
+        return await renew(worker, token, *arguments)
+
+    simulation.network.renew = record
+    simulation.advance(3)
+    first, repeated = calls[:2]
+    assert first[0] > 0 and first[1] is not None and first[2] > 0
+    assert repeated[:3] == (0, None, 0)
+
+
 def test_a_worker_that_loses_many_orders_runs_each_task_once(make):
     """Guards against tasks that run twice because an order was repeated."""
     simulation = make(workers=3)
