Test what holders, pools and advice do in an evacuated zone

Without them, a busy permit of an evacuated zone could serve another request, the answer could precede the last attempts, an order could be announced late, runs in the zone could count as load of their pool, and advice could be requested on its workers, and all tests passed; each of these changes now fails one.

--- a/galenarill/coordinator/tests/test_evacuation.py
+++ b/galenarill/coordinator/tests/test_evacuation.py
@@ -14,7 +14,9 @@
     StartRun,
     Step,
 )
+from galenarill.pools import PoolLoad
 from galenarill.routing import Resources
+from galenarill.workers import Advice, AdviceClient
 
 # Zone "a" has w0 only.
 ZONES = {"w1": "b", "w2": "b"}
@@ -234,6 +236,36 @@
     assert late == ["w0"] * 3
 
 
+def test_runs_in_an_evacuated_zone_add_no_load_to_their_pool(make_zones):
+    """Guards against machines moved to a pool for runs that need none."""
+    simulation = make_zones(
+        workers=2, seconds_of=lambda task, run: (30.0, "done")
+    )
+    simulation.submit("j", 8)
+    simulation.advance(1)
+    change(simulation, EvacuateZone)
+    loads = {"pool": PoolLoad("pool")}
+    simulation.call(simulation.leader.add_load, loads)
+    assert loads["pool"].running.cpu == 4
+
+
+def test_no_advice_is_requested_on_workers_of_an_evacuated_zone(make_zones):
+    """Guards against a step that waits because its calls name only them."""
+    asked = []
+
+    class Policy(AdviceClient):
+        async def ask(self, step, workers):
+            asked.extend(workers)
+            return Advice({worker: "ticket" for worker in workers}, 2.0)
+
+    simulation = make_zones(workers=3, advice=Policy())
+    change(simulation, EvacuateZone)
+    simulation.submit("j", 1)
+    simulation.advance(2)
+    assert set(asked) == {"w1", "w2"}
+    assert simulation.status("j") is JobStatus.COMPLETED
+
+
 class EvacuationMachine(LeaderMachine):
     """The plays of the leader with orders for zones and with snapshots."""
 
--- a/galenarill/entry/tests/test_evacuation.py
+++ b/galenarill/entry/tests/test_evacuation.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from galenarill.entry.evacuation import EvacuationMonitor
+from galenarill.entry.evacuation import SETTLE_SECONDS, EvacuationMonitor
 from galenarill.entry.reconciler import ZoneReconciler
 from galenarill.scheduling.messages import AllotmentRequest
 from galenarill.state import FleetState, ZoneEvacuation
@@ -46,6 +46,31 @@
     run_in_virtual_time(scenario)
 
 
+def test_an_order_is_announced_at_once_and_its_last_attempts_are_awaited():
+    """Guards against an answer that precedes attempts assigned before.
+
+    The others wait for the version that this VM announces.
+    """
+
+    async def scenario():
+        state, slots = FleetState(), unittest.mock.Mock()
+        announce = unittest.mock.Mock()
+        monitor = EvacuationMonitor({"e2"}, lambda: state, slots, announce)
+        monitor.state_changed()
+        assert not announce.called
+        _evacuate(state, 7)
+        monitor.state_changed()
+        slots.set_evacuated_zones.assert_called_once_with(frozenset({"az-a"}))
+        announce.assert_called_once_with()
+        monitor.record_version("e2", 7)
+        begin = asyncio.get_running_loop().time()
+        assert await monitor.wait_confirmed("az-a") == []
+        waited = asyncio.get_running_loop().time() - begin
+        assert waited == pytest.approx(SETTLE_SECONDS)
+
+    run_in_virtual_time(scenario)
+
+
 @pytest.mark.parametrize("is_evacuated, given", [(False, 3), (True, 5)])
 def test_evacuated_zone_gives_up_all_that_it_does_not_use(is_evacuated, given):
     """Allotment that stays in the zone rejects requests in the others."""
--- a/galenarill/scheduling/tests/test_evacuation.py
+++ b/galenarill/scheduling/tests/test_evacuation.py
@@ -128,3 +128,20 @@
     assert demand() == {"az-a": 1, "az-b": 0}
     holder.set_evacuated_zones(frozenset({"az-a"}))
     assert demand() == {"az-a": 0, "az-b": 1}
+
+
+def test_a_busy_permit_of_an_evacuated_zone_serves_no_other_request():
+    """Guards against starts until the recall of the scheduler arrives."""
+    now = 10.0
+    holder = PermitHolder("az-a")
+    sequence = holder.next_register("az-a", "ep", now).sequence
+    holder.handle_register_reply(m.RegisterReply("az-a", "ep", sequence), now)
+    holder.submit("r1", "render", "red", 60.0, now)
+    permit = m.Permit("p1", "s1", "i", "h:1", "render", "red")
+    holder.add_permits(m.Granted("az-a", "ep", (permit,)), now)
+    assert [start.request for start in holder.take_starts()] == ["r1"]
+    holder.set_evacuated_zones(frozenset({"az-a"}))
+    holder.submit("r2", "render", "red", 60.0, now)
+    holder.finish("p1", now)
+    assert not holder.take_starts()
+    assert holder.take_returned_ids() == ["p1"]
