Test that a worker's zone precedes that of its machine

Starts are withheld by the zone that the worker reports. A machine judged by the machine list instead passed all tests; the new one fails then.

--- a/galenarill/coordinator/tests/test_machines.py
+++ b/galenarill/coordinator/tests/test_machines.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from galenarill.coordinator.guards import IdleGuard
 from galenarill.coordinator.tests.machines import (
     start_wave,
@@ -360,3 +362,20 @@
         begun.worker in zones and begun.begun_at > at
         for begun in simulation.network.history
     )
+
+
+def test_the_zone_that_a_worker_reports_precedes_that_of_its_machine(make):
+    """Guards against a machine that is switched off while it gets starts."""
+    zones = {"n0-worker": "b"}
+    simulation, machines = make(
+        {**{f"n{n}": "pool" for n in range(4)}, "s0": "spare"}, zones=zones
+    )
+    for name, zone in (("n0", "a"), ("n1", "b")):
+        machines.machines[name] = msgspec.structs.replace(
+            machines.machines[name], zone=zone
+        )
+    at = simulation.loop.time()
+    simulation.call(simulation.apply, [EvacuateZone("b", at)])
+    simulation.advance(3)
+    moved = [(name, target) for _, name, target, *_ in machines.orders]
+    assert moved == [("n0", "spare")]
