Add the command galenarill explain

Cause: an operator could not see where a job would go now, or which rule leaves out how many workers, without sending the job.

Change: POST /explain on a coordinator's metrics page is forwarded to the leader as ExplainJob, a read. coordinator/explaining.py runs routing, admission and one placement round on copies. A dry run uses copies of the retry schedule, of the reservations and of the waiting groups, and restores the cached estimates of ends.

Gangs, long-running tasks, the spread limit and trials that would start in the round are left out; see docs/design/explain.md.

Tested: coordinator/tests/test_explaining.py, test_admission, test_reservations, test_evacuation_requests, test_leader, test_node, admission/tests/test_retries, cluster/tests/test_leader_client and tests/test_layout pass. The dry-run test fails if the retry schedule, the capacities, the waiting groups or the estimates are shared with the leader. Tried by hand against one coordinator process without workers: answer, JSON, no leader, no configuration, unknown route and key, bad input. A system of several processes was not run.

--- a/galenarill/admission/retries.py
+++ b/galenarill/admission/retries.py
@@ -82,6 +82,17 @@
         """Return the number of remembered jobs."""
         return len(self._rejected)
 
+    def copy(self) -> "RetrySchedule":
+        """Return a schedule whose updates leave this one unchanged."""
+        schedule = RetrySchedule()
+        schedule._rejected = self._rejected.copy()
+        for line_id, line in self._lines.items():
+            copied = schedule._lines[line_id] = _Line()
+            copied.keys = line.keys.copy()
+            copied.returns = line.returns.copy()
+        schedule._last_number = self._last_number
+        return schedule
+
     def assign(
         self,
         job: JobId,
--- a/galenarill/cli/app.py
+++ b/galenarill/cli/app.py
@@ -10,6 +10,7 @@
 
 from galenarill.cli.check import check
 from galenarill.cli.config import config_app
+from galenarill.cli.explain import explain
 from galenarill.cli.fleet import status, vm_app
 from galenarill.cli.keys import key_app, operator_app
 from galenarill.cli.report import report
@@ -42,6 +43,7 @@
 app.command(vm_app)
 app.command(zone_app)
 app.command(check)
+app.command(explain)
 app.command(report)
 app.command(status)
 app.command(trace)
--- a/galenarill/cluster/messages.py
+++ b/galenarill/cluster/messages.py
@@ -21,6 +21,7 @@
     "AskJob",
     "WithdrawJob",
     "AskQueue",
+    "ExplainJob",
     "ChangeConfiguration",
     "ReadConfiguration",
     "ReportWorker",
@@ -88,6 +89,15 @@
     key: str | None
 
 
+class ExplainJob(msgspec.Struct, frozen=True, array_like=True, tag="je"):
+    """Request to explain where a job would go now, without accepting it."""
+
+    host: str
+    path: str
+    key: str | None
+    spec: JobSpec
+
+
 class ChangeConfiguration(
     msgspec.Struct, frozen=True, array_like=True, tag="oc"
 ):
@@ -193,6 +203,7 @@
     | AskJob
     | WithdrawJob
     | AskQueue
+    | ExplainJob
     | ChangeConfiguration
     | ReadConfiguration
     | ReportWorker
--- a/galenarill/coordinator/admitting.py
+++ b/galenarill/coordinator/admitting.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections
+import copy
 import logging
 from typing import Protocol
 
@@ -113,6 +114,7 @@
         self._useful_lateness = useful_lateness
         self._bounds = bounds
         self._schedule = RetrySchedule()
+        self._is_dry_run = False
         self._machines: MachineInventory | None = None
         self._read_again_at = float("-inf")
         # Configuration that the limits were read from.
@@ -172,10 +174,21 @@
             self._useful_lateness,
             now,
         )
-        if not admission.is_accepted:
+        if not admission.is_accepted and not self._is_dry_run:
             self._note_rejection(job_id, queue, tenant, backlog, admission)
         return admission
 
+    def preview_admission(
+        self, spec: JobSpec, queue: Queue, tenant: TeamId
+    ) -> Admission:
+        """Return the decision on an unknown job without recording it."""
+        # The copy replaces its attributes by those of its own reading.
+        dry_run = copy.copy(self)
+        dry_run._is_dry_run = True
+        dry_run._schedule = self._schedule.copy()
+        dry_run._capacities = self._capacities.copy()
+        return dry_run.decide_admission(JobId(""), spec, queue, tenant)
+
     def _note_rejection(
         self,
         job_id: JobId,
--- a/galenarill/coordinator/holding.py
+++ b/galenarill/coordinator/holding.py
@@ -85,6 +85,10 @@
     def reserve(self, facts: "PlacementFacts") -> ReservationBook | None:
         """Return the reservations for a round, before its placements."""
 
+    def latest_reservations(self) -> ReservationBook | None:
+        """Return a copy of the reservations of the latest round, if any."""
+        return None
+
     @abc.abstractmethod
     def update(
         self,
@@ -279,6 +283,15 @@
         """No workers: other tasks may use what isn't reserved."""
         return frozenset()
 
+    def latest_reservations(self) -> ReservationBook | None:
+        """Return a copy of the reservations of the latest round, if any."""
+        return ReservationBook(
+            dataclasses.replace(reservation)
+            for chosen in self._pools.values()
+            for reservation in chosen.reservations
+            if reservation in self._book
+        )
+
     def usable_by(
         self, step: Step, members: list[AvailableWorker]
     ) -> list[AvailableWorker]:
--- a/galenarill/coordinator/leader.py
+++ b/galenarill/coordinator/leader.py
@@ -25,6 +25,7 @@
 from galenarill.coordinator.crashes import CrashMonitor
 from galenarill.coordinator.disruptions import DisruptionMonitor
 from galenarill.coordinator.endings import RunEndCommitter
+from galenarill.coordinator.explaining import JobExplainer
 from galenarill.coordinator.options import SchedulerOptions
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.placing import Placer
@@ -183,6 +184,9 @@
         self._admitter = JobAdmitter(
             self._context, self._placer, registry, options.useful_lateness
         )
+        self._explainer = JobExplainer(
+            self._context, self._placer, self._admitter, self._progress_monitor
+        )
 
     def start(self) -> None:
         """Adopt the runs in the replicated state and start scheduling."""
@@ -283,6 +287,10 @@
         """Decide on a new job; see `AdmissionPolicy`."""
         return self._admitter.decide_admission(job_id, spec, queue, tenant)
 
+    def explain_job(self, spec: JobSpec, queue: Queue, tenant: TeamId) -> dict:
+        """Explain where a job would go now; see `JobExplainer`."""
+        return self._explainer.explain(spec, queue, tenant)
+
     def count_machines(self, machines: MachineInventory) -> None:
         """Count listed machines toward the capacity that could join a pool."""
         self._admitter.count_machines(machines)
--- a/galenarill/coordinator/node.py
+++ b/galenarill/coordinator/node.py
@@ -152,6 +152,7 @@
             self._can_serve_reads,
             self._knows_zone,
             lambda: self._leader,
+            lambda: self._leader,
         )
         self._mesh = Mesh(
             self._vm,
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -3,11 +3,12 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import functools
 import itertools
 import logging
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from galenarill.common import (
     JobId,
@@ -50,6 +51,7 @@
     Placement,
     Quota,
     RecentUsage,
+    ReservationBook,
     TaskGroup,
     TenantUsage,
     duration_key,
@@ -60,7 +62,7 @@
 from galenarill.telemetry import meter
 from galenarill.workers import WorkerSession
 
-__all__ = ["Placer"]
+__all__ = ["Obstacle", "Placer", "PlacementSnapshot"]
 
 logger = logging.getLogger(__name__)
 
@@ -114,6 +116,45 @@
     is_late: bool
 
 
+class Obstacle(enum.Enum):
+    """Why a worker gets no starts, whatever its capacity."""
+
+    NOT_SYNCED = "runs not known yet"
+    LEAVING = "leaving"
+    NOT_ANSWERING = "not answering"
+    DRAINING = "draining"
+    CORDONED = "cordoned"
+    IN_BACKOFF = "in backoff"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementSnapshot:
+    """Copies of what a placement round decides from.
+
+    Attributes:
+        groups: Groups of ready tasks, without suspects.
+        available: Workers that accept starts, by pool, without cold workers
+            of pools with warm ones.
+        cold: These cold workers, by pool.
+        trial_workers: Workers that are reserved for a trial.
+        held: Workers that get long-running tasks only.
+        reservations: Reservations of the latest round, or None.
+        usage: Usage of the tenants.
+        quotas: Quotas by tenant.
+        make_candidate: Returns the candidate for a task of a group.
+    """
+
+    groups: list[TaskGroup]
+    available: dict[PoolId, list[AvailableWorker]]
+    cold: dict[PoolId, list[AvailableWorker]]
+    trial_workers: set[WorkerId]
+    held: frozenset[WorkerId]
+    reservations: ReservationBook | None
+    usage: TenantUsage
+    quotas: dict[TeamId, Quota]
+    make_candidate: Callable[[TaskGroup, TaskKey], Candidate]
+
+
 class Placer:
     """Assigns ready tasks to workers and proposes their starts."""
 
@@ -209,6 +250,60 @@
         """Return the usage of tenants, and their quotas."""
         return self._tenant_usage(self._uncommitted_starts())
 
+    def expected_seconds(self, job: Job, step: Step) -> float:
+        """Return how long a task will probably run.
+
+        Negative infinity if durations aren't used.
+        """
+        return (
+            self._expected_seconds(job, step)
+            if self._looks_ahead
+            else -math.inf
+        )
+
+    def snapshot(self, pool: PoolId) -> PlacementSnapshot:
+        """Return copies of what a round decides from, for a dry run.
+
+        Args:
+            pool: Pool whose workers are included even if no task waits for it.
+        """
+        now = monotonic_now()
+        groups = [
+            dataclasses.replace(group, keys=list(group.keys))
+            for group in self.waiting_groups
+            if not group.is_trial
+        ]
+        proposed = self._uncommitted_starts()
+        available = self._available_workers(
+            {pool, *(group.pool for group in groups)}, proposed
+        )
+        cold = self._take_cold_workers(available, proposed)
+        trial_workers = self._crash_monitor.trial_workers() | {
+            start.worker for _, start in proposed if start.is_trial
+        }
+        for members in available.values():
+            members[:] = [
+                w for w in members if w.report.worker not in trial_workers
+            ]
+        usage, quotas = self._tenant_usage(proposed)
+        return PlacementSnapshot(
+            groups,
+            available,
+            cold,
+            trial_workers,
+            self._capacity_keeper.workers,
+            self._capacity_keeper.latest_reservations(),
+            usage,
+            quotas,
+            functools.partial(
+                self._candidate,
+                unsettled=self._disruptions.unsettled_workers(),
+                step_tasks_by_worker={},
+                proposed=proposed,
+                now=now,
+            ),
+        )
+
     def refresh_ready_tasks(self, job_id: JobId) -> None:
         """Recompute which tasks of a job are ready to start."""
         job = self._context.state.jobs.get(job_id)
@@ -556,8 +651,9 @@
         available: dict[PoolId, list[AvailableWorker]] = {}
         for worker, session in self._context.usable_sessions():
             report = session.report
-            if report.pool not in pools or not self._accepts_starts(
-                session, now
+            if (
+                report.pool not in pools
+                or self.obstacle_to_starts(session, now) is not None
             ):
                 continue
             free = report.capacity
@@ -609,18 +705,28 @@
                 available[pool], cold[pool] = warm, others
         return cold
 
-    def _accepts_starts(self, session: WorkerSession, now: float) -> bool:
+    def obstacle_to_starts(
+        self, session: WorkerSession, now: float
+    ) -> Obstacle | None:
+        """Return why a worker gets no starts, or None if it accepts them."""
         report = session.report
-        return (
-            session.is_synced
-            and not session.has_unknown_runs
-            and not session.is_provisional
-            and session.departure_noted_at is None
-            and session.answered_at > now - ANSWER_SECONDS
-            and not self._context.is_draining(session)
-            and report.machine not in self._cordons
-            and not self._run_orders.has_recently_refused(report.worker, now)
-        )
+        if (
+            not session.is_synced
+            or session.has_unknown_runs
+            or session.is_provisional
+        ):
+            return Obstacle.NOT_SYNCED
+        if session.departure_noted_at is not None:
+            return Obstacle.LEAVING
+        if session.answered_at <= now - ANSWER_SECONDS:
+            return Obstacle.NOT_ANSWERING
+        if self._context.is_draining(session):
+            return Obstacle.DRAINING
+        if report.machine in self._cordons:
+            return Obstacle.CORDONED
+        if self._run_orders.has_recently_refused(report.worker, now):
+            return Obstacle.IN_BACKOFF
+        return None
 
 
 def _add(amounts: dict, key, amount: Resources) -> None:
--- a/galenarill/coordinator/progress.py
+++ b/galenarill/coordinator/progress.py
@@ -1,8 +1,10 @@
 """Detects stalled runs and stragglers, and faulty workers behind them."""
 
+import contextlib
 import logging
 import math
 import statistics
+from collections.abc import Iterator
 
 from galenarill.common import JobId, WorkerId, monotonic_now
 from galenarill.coordinator.runs import Phase, TrackedRun
@@ -132,6 +134,20 @@
             run.ends_at = max(run.phase_since + longest, now + OVERDUE_SECONDS)
         return run.ends_at
 
+    @contextlib.contextmanager
+    def restored_estimates(self) -> Iterator[None]:
+        """Restore the estimates of ends on exit, for a dry run."""
+        runs = self._context.runs
+        idle_at = dict(runs.idle_at_by_worker)
+        ends = [(run, run.ends_at) for run in runs.by_name.values()]
+        try:
+            yield
+        finally:
+            runs.idle_at_by_worker.clear()
+            runs.idle_at_by_worker.update(idle_at)
+            for run, ends_at in ends:
+                run.ends_at = ends_at
+
     def idle_at(self, worker: WorkerId, now: float) -> float:
         """Return when all runs on a worker have probably ended."""
         cache = self._context.runs.idle_at_by_worker
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -4,6 +4,8 @@
 import logging
 from collections.abc import Callable
 
+import msgspec
+
 from galenarill.cluster import messages as msg
 from galenarill.cluster.messages import Code, Reply
 from galenarill.common import (
@@ -14,6 +16,7 @@
     wall_now,
 )
 from galenarill.coordinator.admitting import AdmissionPolicy
+from galenarill.coordinator.explaining import ExplanationSource
 from galenarill.errors import NotLeaderError
 from galenarill.jobs import (
     AcceptJob,
@@ -58,6 +61,9 @@
         can_serve_reads: Callable[[], bool],
         knows_zone: Callable[[AvailabilityZoneId], bool | None],
         admission_policy: Callable[[], AdmissionPolicy | None] = lambda: None,
+        explanation_source: Callable[[], ExplanationSource | None] = lambda: (
+            None
+        ),
     ):
         """Create a handler that reads `state`.
 
@@ -70,6 +76,8 @@
                 or None if not all of them are known yet.
             admission_policy: Returns what decides on new jobs, or None if this
                 coordinator doesn't lead, so that it rejects none.
+            explanation_source: Returns what explains placements, or None if
+                this coordinator doesn't lead.
         """
         self._state = state
         self._propose = propose
@@ -80,6 +88,7 @@
             collections.Counter()
         )
         self._admission_policy = admission_policy
+        self._explanation_source = explanation_source
         # Path of the queue, and tenant, of the jobs that are being accepted.
         self._accepting: dict[JobId, tuple[tuple[str, str], TeamId]] = {}
         self._counted_at = float("-inf")
@@ -102,6 +111,8 @@
                     return await self._withdraw(call, request)
                 case msg.AskQueue():
                     return self._queue_length(call, request)
+                case msg.ExplainJob():
+                    return self._explain(call, request)
                 case msg.ChangeConfiguration():
                     return await self._configure(call, request)
                 case msg.ReadConfiguration():
@@ -223,6 +234,18 @@
             return self._refuse(call, "", found)
         return Reply(call, Code.DONE, number=self._waiting_jobs(found[0]))
 
+    def _explain(self, call: int, request: msg.ExplainJob) -> Reply:
+        source = self._explanation_source()
+        if source is None:
+            return Reply(call, Code.NOT_LEADING)
+        found = self._state.routing.find(
+            request.host, request.path, request.key
+        )
+        if isinstance(found, Refusal):
+            return self._refuse(call, "", found)
+        explanation = source.explain_job(request.spec, *found)
+        return Reply(call, Code.DONE, document=msgspec.json.encode(explanation))
+
     def _waiting_jobs(self, queue: Queue) -> int:
         """Return the number of a queue's jobs without a start.
 
--- a/galenarill/platform/process.py
+++ b/galenarill/platform/process.py
@@ -20,6 +20,7 @@
 from galenarill.gateway.node import Gateway
 from galenarill.platform.advice_client import HttpAdviceClient
 from galenarill.platform.control import ControlServer
+from galenarill.platform.explain import EXPLAIN_PATH, ExplainEndpoint
 from galenarill.platform.front import FrontServer
 from galenarill.platform.http import listen
 from galenarill.platform.machine_client import HttpMachineClient
@@ -92,7 +93,8 @@
     stop = _stop_event()
     settings = load_node_settings(file)
     async with contextlib.AsyncExitStack() as stack:
-        telemetry_task = await _start_telemetry(settings, log_handler)
+        endpoint = ExplainEndpoint()
+        telemetry_task = await _start_telemetry(settings, log_handler, endpoint)
         stack.push_async_callback(_cancel, telemetry_task)
         worker_client = HttpWorkerClient()
         stack.push_async_callback(worker_client.aclose)
@@ -107,7 +109,12 @@
         while not stop.is_set():
             try:
                 await _run_coordinator_once(
-                    file, worker_client, machine_client, advice_client, stop
+                    file,
+                    worker_client,
+                    machine_client,
+                    advice_client,
+                    stop,
+                    endpoint,
                 )
             except JournalCorruptError:
                 raise
@@ -125,6 +132,7 @@
     machine_client: HttpMachineClient | None,
     advice_client: HttpAdviceClient | None,
     stop: asyncio.Event,
+    endpoint: ExplainEndpoint,
 ) -> None:
     settings = load_node_settings(file)
     coordinator = Coordinator(
@@ -137,21 +145,25 @@
     )
     try:
         await control.start(settings.control)
+        endpoint.service = coordinator
         logger.info("started", extra={"listen": settings.control})
         await _wait_for_stop(stop, node_task)
         logger.info("leaving")
     finally:
+        endpoint.service = None
         await control.stop()
         await _cancel(watch_task)
         await _cancel(node_task)
 
 
 async def _start_telemetry(
-    settings: NodeSettings, log_handler: NonBlockingLogHandler
+    settings: NodeSettings,
+    log_handler: NonBlockingLogHandler,
+    endpoint: ExplainEndpoint | None = None,
 ) -> asyncio.Task:
     """Serve the metrics page and return a task that flushes log lines.
 
-    The metrics page stops when the task is cancelled.
+    The metrics page, and `endpoint` if given, stop when the task is cancelled.
     """
     exporter = PrometheusExporter()
     meter().create_observable_counter(
@@ -160,6 +172,8 @@
     )
 
     async def serve(request: web.BaseRequest) -> web.Response:
+        if endpoint is not None and request.path == EXPLAIN_PATH:
+            return await endpoint.serve(request)
         return web.Response(body=exporter.render(), content_type="text/plain")
 
     runner = await listen(serve, f"{settings.ip}:{settings.metrics_port}")
