--- a/galenarill/coordinator/holding.py
+++ b/galenarill/coordinator/holding.py
@@ -54,8 +54,8 @@
 # Most tasks of a pool with a reservation. With 8, up to 3 points fewer of all
 # tasks start in time, since each reservation keeps small tasks waiting.
 MAX_RESERVED_TASKS = 1
-# Most steps of a pool that last fitted nowhere and are looked at again when its
-# reservations are chosen. Bounds the cost of a pool with many such steps.
+# Maximum steps per pool that fitted on no worker and are retried when its
+# reservations are recomputed.
 MAX_RETRIED_STEPS = 8
 # Time for which the reservations of a pool are kept while its workers accept
 # starts and the tasks wait, in seconds. Bounds the cost with all pools full,
--- a/galenarill/coordinator/tests/test_reservations.py
+++ b/galenarill/coordinator/tests/test_reservations.py
@@ -193,7 +193,7 @@
     submit_small(simulation, 4, 0.05)
     assert reserved(simulation) is None
     simulation.cancel("lasting")
-    # Until reservations are chosen anew, the longest task, and some rounds.
+    # Lifetime of a reservation, longest task duration, and a few rounds.
     submit_small(simulation, 0.1 + 1.4 + 0.4, 0.05)
     assert started(simulation)
     simulation.close()
--- a/galenarill/placement/preemption.py
+++ b/galenarill/placement/preemption.py
@@ -123,7 +123,7 @@
         candidate.siblings[worker] = candidate.siblings.get(worker, 0) + 1
         if quota is not None:
             quota.used = quota.used.plus(candidate.step.need)
-    # Victims chosen for one task may release enough for another one as well.
+    # The victims of one task may free enough capacity for another.
     unnecessary = [
         active_run
         for worker, chosen in victims_by_worker.items()
