--- a/review/support_2/system.py
+++ b/review/support_2/system.py
@@ -222,6 +222,25 @@
         self._file.flush()
 
 
+def run_case(main) -> int:
+    """Run a case to its exit code.
+
+    A signal ends it, and with it all processes that it started.
+    """
+
+    async def run_until_signal() -> int:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        return await main()
+
+    try:
+        return asyncio.run(run_until_signal())
+    except asyncio.CancelledError:
+        return NOT_RUN
+
+
 def _free_ports(ips: list[str], count: int) -> list[int]:
     """Return ports that are free on all of some addresses."""
     ports: list[int] = []
--- a/review/support_2/workers.py
+++ b/review/support_2/workers.py
@@ -37,6 +37,8 @@
         self.born = int(time.time() * 1000)
         self.running: dict[tuple[str, int], dict] = {}
         self.ended: list[list] = []
+        # Also those that were acknowledged.
+        self.all_ends: list[list] = []
         self.starts: list[tuple[float, str, int]] = []
         # When a report with the state `draining` was first acknowledged.
         self.drain_acknowledged_at: float | None = None
@@ -143,6 +145,7 @@
         self._end_count += 1
         self._barred[run[0]] = max(run[1], self._barred.get(run[0], 0))
         self.ended.append([self._end_count, *run, how, ""])
+        self.all_ends.append(self.ended[-1])
         self._record(f"{self.name}: {run[0]} run {run[1]} ended {how}")
         self._news.set()
 
