--- a/review/support_3/deployment.py
+++ b/review/support_3/deployment.py
@@ -23,11 +23,14 @@
     "lease_ms": 3000,
     "max_hold_ms": 6000,
 }
+# A case is ended after this time, so that its processes end before 120 s.
+MAX_SECONDS = 110.0
 POOL = "pool-a"
 HOST = "queue.example"
 PREFIX = "/proof/"
+OTHER_PREFIX = "/other/"
 KEY = "sjnbanfqasnmgkcuyj8p"
-PROCESS_NAME = re.compile(r"{{(.+?)}}")
+PLACEHOLDER = re.compile(r"{{(.+?)}}")
 
 
 class CannotRunError(Exception):
@@ -236,26 +239,29 @@
                 raise CannotRunError(f"no {what} after {seconds} s")
             await asyncio.sleep(0.2)
 
-    async def put_configuration(self, version=3, limit_cpu=0):
+    async def put_configuration(self, version=3, limit_cpu=0, service=POOL):
         """Send a configuration, and return whether it was acknowledged.
 
         Args:
             version: Its version.
             limit_cpu: Upper limit of the tenant in thousandths of a core, or 0
                 for none.
+            service: The one service, to which the one route leads. The route
+                of the workers' service has the prefix that clients use.
         """
+        prefix = PREFIX if service == POOL else OTHER_PREFIX
         body = {
             "version": version,
             "routes": [
                 {
-                    "name": "r-1",
+                    "name": f"r-{service}",
                     "host": HOST,
-                    "path_prefix": PREFIX,
+                    "path_prefix": prefix,
                     "kind": "unsafe",
                     "timeout_ms": 3000,
                     "slo_ms": 600,
                     "priority": 0,
-                    "service": POOL,
+                    "service": service,
                     "max_attempts": 2,
                     "stretch": 1.6,
                     "public": False,
@@ -263,7 +269,7 @@
             ],
             "services": [
                 {
-                    "name": POOL,
+                    "name": service,
                     "health_path": "/health",
                     "max_conns": 64,
                     "protocol": "h1",
@@ -361,17 +367,21 @@
         return "" if value is None else str(value)
 
     text = re.sub(r"{{#(\w+)}}(.*?){{/\1}}", fill_section, template, flags=re.S)
-    return PROCESS_NAME.sub(fill, text)
+    return PLACEHOLDER.sub(fill, text)
 
 
 async def _run(case, kinds, folder):
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     deployment = Deployment(folder / "record.txt", kinds)
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, asyncio.current_task().cancel
+    )
     try:
         deployment.note("begins", trouble=has_trouble)
-        broken = await case(deployment, has_trouble)
-    except CannotRunError as error:
-        deployment.note("the case could not run", why=str(error))
+        async with asyncio.timeout(MAX_SECONDS):
+            broken = await case(deployment, has_trouble)
+    except (CannotRunError, TimeoutError) as error:
+        deployment.note("the case could not run", why=repr(error))
         return 2
     else:
         deployment.note("result", broken=broken or "no rule")
--- a/review/support_3/workers.py
+++ b/review/support_3/workers.py
@@ -56,6 +56,7 @@
         # Factor by which its work takes longer.
         self.slowness = 1.0
         self.is_healthy = True
+        self.is_draining = False
         self.is_up = False
         self._controls = controls
         self._pool = pool
@@ -119,7 +120,7 @@
                 "zone": "a",
                 "version": "v1",
                 "slots": 8,
-                "state": "ready",
+                "state": "draining" if self.is_draining else "ready",
                 "cold_left_ms": 0,
                 "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0},
                 "labels": [self.kind, self.rack],
@@ -137,6 +138,8 @@
                     seconds=1.0,
                 )
                 if 200 <= status < 300:
+                    if self.is_draining:
+                        self._note("draining acknowledged", worker=self.name)
                     break
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
