Show a lasting task that rests beside the only worker with its label

Cause: a quarantine lasts up to 24 s and is not shortened (workers/health.py), and a worker in quarantine is passed over while its pool has any other one, also one without the label that the task requires (placement/plan.py, prefer_healthy). A signal ends a script with 2.

--- a/review/support_3/deployment.py
+++ b/review/support_3/deployment.py
@@ -380,7 +380,7 @@
         deployment.note("begins", trouble=has_trouble)
         async with asyncio.timeout(MAX_SECONDS):
             broken = await case(deployment, has_trouble)
-    except (CannotRunError, TimeoutError) as error:
+    except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
         deployment.note("the case could not run", why=repr(error))
         return 2
     else:
--- a/review/support_3/workers.py
+++ b/review/support_3/workers.py
@@ -100,6 +100,11 @@
         ]
         self._note("worker begins", worker=self.name, born=self.born)
 
+    def fail(self, task):
+        """End a task by its own fault, if it runs here."""
+        if task in self._running:
+            self._end(self._running[task], "failed")
+
     def crash(self):
         """End the life: all that runs ends, and nothing is said of it."""
         self.is_up = False
