--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,80 +1,71 @@
-"""Crashes of one machine, and what becomes of the jobs that ran on it."""
+"""A tenant's limit is lowered, and what becomes of a task that still fits."""
 
 import asyncio
-import time
 
 from review.support_3.deployment import CannotRunError, run_case
 
-FINITE_JOB = "5c0e7a21d94b36f8"
-LASTING_JOB = "5c0e7a21d94b36f9"
-# One worker of twelve has the label that the jobs require.
-KINDS = ["b"] + ["a"] * 11
-CRASHES = 4
-DOWN_SECONDS = 2.0
-# From the start of the tasks until the next crash.
-UP_SECONDS = 2.0
-# Time on the sound worker after the last crash.
-CALM_SECONDS = 25.0
+LASTING_JOB = "5c0e7a21d94b3a00"
+JOB = "5c0e7a21d94b3a01"
+KINDS = ["a"] * 6
+LASTING_CPU = 4000
+TASK_CPU = 7000
+LIMIT_CPU = 10000
+# `config_apply_ms`.
+APPLY_SECONDS = 2.0
+WATCHED_SECONDS = 30.0
+# Time after the last submission from which on the rule is checked, `finish_s`.
+FINISH_SECONDS = 14.0
+# A job may have nothing running for this long under the conditions of the rule.
+IDLE_SECONDS = 3.0
 
 
-def _plan(deployment):
+async def _case(deployment, has_trouble):
     def plan(task, worker):
         _, step = deployment.first_step_of(task)
-        work_ms = float("inf") if step.get("long_running") else 6000.0
+        work_ms = float("inf") if step.get("long_running") else 1000.0
         return step["cpu"], work_ms, "done"
 
-    return plan
-
-
-async def _case(deployment, has_trouble):
-    await deployment.start(_plan(deployment))
-    steps = [
-        {
-            "count": 1,
-            "cpu": 2000,
-            "mem_mb": 512,
-            "estimate_ms": 6000,
-            "requires": "b",
-        }
-    ]
-    lasting = [
-        {
-            "count": 1,
-            "cpu": 1300,
-            "mem_mb": 512,
-            "long_running": True,
-            "requires": "b",
-        }
-    ]
-    worker = deployment.workers["i-00"]
-    for job, job_steps in ((FINITE_JOB, steps), (LASTING_JOB, lasting)):
-        if await deployment.submit(job, job_steps) != 200:
-            raise CannotRunError("a job was not accepted")
-    for _ in range(CRASHES if has_trouble else 0):
-        await _until_running(worker, f"{LASTING_JOB}.0.0.0")
-        await asyncio.sleep(UP_SECONDS)
-        worker.crash()
-        await asyncio.sleep(DOWN_SECONDS)
-        await worker.begin()
-    ends_at = time.monotonic() + CALM_SECONDS
-    states = {}
-    while time.monotonic() < ends_at:
-        for job in (FINITE_JOB, LASTING_JOB):
-            status, state = await deployment.state_of(job)
-            if status == 200:
-                states[job] = state
+    await deployment.start(plan)
+    lasting = {
+        "count": 1,
+        "cpu": LASTING_CPU,
+        "mem_mb": 512,
+        "long_running": True,
+    }
+    step = {"count": 1, "cpu": TASK_CPU, "mem_mb": 512, "estimate_ms": 1000}
+    if await deployment.submit(LASTING_JOB, [lasting]) != 200:
+        raise CannotRunError("the lasting job was not accepted")
+    await asyncio.sleep(1.0)
+    if has_trouble and not await deployment.put_configuration(4, LIMIT_CPU):
+        raise CannotRunError("the configuration was not acknowledged")
+    await asyncio.sleep(APPLY_SECONDS)
+    if await deployment.submit(JOB, [step]) != 200:
+        raise CannotRunError("the job was not accepted")
+    idle_seconds = 0.0
+    for second in range(int(WATCHED_SECONDS)):
         await asyncio.sleep(1.0)
-    failed = [job for job, state in states.items() if state == "failed"]
-    # No run has ended `failed`: the plan of every task says `done`.
-    return f"LOST: shown as failed without cause: {failed}" if failed else ""
-
-
-async def _until_running(worker, task):
-    ends_at = time.monotonic() + 15.0
-    while task not in worker.tasks_running():
-        if time.monotonic() > ends_at:
-            return
-        await asyncio.sleep(0.05)
+        await deployment.state_of(JOB)
+        if JOB in deployment.jobs_begun:
+            return ""
+        used = sum(w.used_cpu() for w in deployment.workers.values())
+        room = sum(
+            w.cpu - w.used_cpu() >= TASK_CPU
+            for w in deployment.workers.values()
+        )
+        total = sum(w.cpu for w in deployment.workers.values())
+        deployment.note(
+            "not begun", tenant_uses=used, room_for=room, capacity=total
+        )
+        is_owed = (
+            second >= FINISH_SECONDS
+            and used < LIMIT_CPU / 2
+            and room >= 2
+            and used < total / 2
+        )
+        idle_seconds = idle_seconds + 1.0 if is_owed else 0.0
+    if idle_seconds > IDLE_SECONDS:
+        return f"LOST: nothing of an accepted job ran for {idle_seconds:.0f} s"
+    return ""
 
 
 if __name__ == "__main__":
--- a/review/support_3/deployment.py
+++ b/review/support_3/deployment.py
@@ -25,7 +25,7 @@
 }
 POOL = "pool-a"
 HOST = "queue.example"
-PREFIX = "/work/"
+PREFIX = "/proof/"
 KEY = "sjnbanfqasnmgkcuyj8p"
 PROCESS_NAME = re.compile(r"{{(.+?)}}")
 
