Log and count the tasks that the limit of their tenant holds back

Change: one line a tenant, at most each 5 s, with the longest wait, need, usage and limit; gauge `galenarill_tasks_held_by_limit`.

--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -29,6 +29,7 @@
     WorkerHolds,
     WorkerReservations,
 )
+from galenarill.coordinator.limits import LimitMonitor
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.preempting import Preemptor
 from galenarill.coordinator.progress import ProgressMonitor
@@ -190,6 +191,7 @@
             if looks_ahead
             else WorkerHolds(context)
         )
+        self._limit_monitor = LimitMonitor()
         self._advice_requests = AdviceRequests(
             context, advisor, self._preemptor, self._capacity_keeper
         )
@@ -381,6 +383,7 @@
         self.unplaced = {}
         if not self._groups:
             self._capacity_keeper.clear()
+            self._limit_monitor.update([], {})
             return
         groups = [group for job in self._groups.values() for group in job]
         proposed = self._uncommitted_starts()
@@ -458,6 +461,7 @@
                     group.is_late(wall_time),
                 )
             )
+        self._limit_monitor.update(waiting, quotas)
         self._advice_requests.send(waiting, available, make_candidate)
         self._preemptor.preempt(
             [group for group in waiting if not group.is_trial],
