Start a task above the limit where waiting would not help

Cause: `Quota.allows` compared usage plus need with the limit and knew no other case. A task larger than what long-running tasks leave of the limit, or than all of it, never started; a gang was measured by its sum. A resource that a task doesn't need, but of which the tenant had too much, held it back as well. Change: QUOTA allows one task above the limit. Starts take effect in any order, so none of the tenant may be pending then, and tasks behind it wait those milliseconds. One predicate, by step, for packer, trials, victims, reservations, explanations and the log. Why it works: used before such a start is below the limit, so each start ends below the limit and one task more, in whatever order the pending ones arrive.

--- a/galenarill/coordinator/endings.py
+++ b/galenarill/coordinator/endings.py
@@ -231,6 +231,7 @@
                 run.is_start_acknowledged = False
                 run.seen_from_ms, run.survived_ms = None, 0.0
                 run.silent_since = None
+                self._context.runs.note_starting(run)
                 displaced.append(run)
             elif not self.is_ending(run):
                 # Also a run that an earlier restart has assigned on, if the
--- a/galenarill/coordinator/explaining.py
+++ b/galenarill/coordinator/explaining.py
@@ -117,7 +117,7 @@
             or reservations.admits(worker, step.reserved, ends_at, own.step_id)
         }
         quota = snapshot.quotas.get(tenant)
-        is_allowed = quota is None or quota.allows(step.need)
+        is_allowed = quota is None or quota.allows(step)
         workers = _place(own, snapshot, wall_time)
 
         def rule_of(session: WorkerSession) -> enum.Enum | None:
--- a/galenarill/coordinator/holding.py
+++ b/galenarill/coordinator/holding.py
@@ -458,11 +458,8 @@
 
 def _is_allowed(group: TaskGroup, facts: PlacementFacts) -> bool:
     """Return whether the tenant's quota allows a task, or the whole gang."""
-    step = group.step
     quota = facts.quotas.get(group.tenant)
-    return quota is None or quota.allows(
-        step.need.times(step.count if step.is_gang else 1)
-    )
+    return quota is None or quota.allows(group.step)
 
 
 def _order(
--- a/galenarill/coordinator/limits.py
+++ b/galenarill/coordinator/limits.py
@@ -3,7 +3,7 @@
 import logging
 
 from galenarill.common import TeamId, monotonic_now
-from galenarill.placement import Quota, StepId, TaskGroup
+from galenarill.placement import Quota, StepId, TaskGroup, quota_need
 from galenarill.routing import Resources
 from galenarill.telemetry import meter
 
@@ -43,7 +43,7 @@
         held: dict[TeamId, list[TaskGroup]] = {}
         for group in waiting:
             quota = quotas.get(group.tenant)
-            if quota is not None and not quota.allows(_need(group)):
+            if quota is not None and not quota.allows(group.step):
                 held.setdefault(group.tenant, []).append(group)
         self._held_since = {
             group.step_id: self._held_since.get(group.step_id, now)
@@ -81,18 +81,12 @@
                 "job": first.job,
                 "task": list(first.step_id[1:]),
                 "seconds": round(seconds, 3),
-                "need": _amounts(_need(first)),
+                "need": _amounts(quota_need(first.step)),
                 "used": _amounts(quota.used),
                 "limit": _amounts(quota.limit),
             },
         )
 
 
-def _need(group: TaskGroup) -> Resources:
-    """Return what a task, or the whole gang, needs."""
-    step = group.step
-    return step.need.times(step.count if step.is_gang else 1)
-
-
 def _amounts(amount: Resources) -> dict[str, int]:
     return {"cpu": amount.cpu, "mem_mb": amount.mem_mb, "gpu": amount.gpu}
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -386,6 +386,7 @@
             self._limit_monitor.update([], {})
             return
         groups = [group for job in self._groups.values() for group in job]
+        self._context.runs.drop_started()
         proposed = self._uncommitted_starts()
         available = self._available_workers(
             {group.pool for group in groups}, proposed
@@ -557,14 +558,23 @@
     ) -> tuple[TenantUsage, dict[TeamId, Quota]]:
         """Return the usage of tenants, and their quotas."""
         total = self._total_capacity()
-        used = dict(self._context.runs.used_by_tenant)
+        runs = self._context.runs
+        used = dict(runs.used_by_tenant)
+        long_running = dict(runs.long_running_by_tenant)
+        starting = runs.starting_tenants()
         for _, start in proposed:
             _add(used, start.tenant, start.step.need)
+            starting.add(start.tenant)
+            if start.step.is_long_running:
+                _add(long_running, start.tenant, start.step.need)
         state = self._context.state
         tenants = (*state.removed_tenants, *state.routing.configuration.tenants)
         quotas = {
             tenant.name: Quota(
-                tenant.upper_limit, used.get(tenant.name, Resources())
+                tenant.upper_limit,
+                used.get(tenant.name, Resources()),
+                long_running.get(tenant.name, Resources()),
+                tenant.name in starting,
             )
             for tenant in tenants
         }
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -135,6 +135,14 @@
         """Job, occurrence and number of its step."""
         return self.job, self.key.occurrence, self.key.step
 
+    @property
+    def is_starting(self) -> bool:
+        """Whether its worker may still be about to start it."""
+        return self.phase in (Phase.STARTING, Phase.INHERITED) or (
+            self.phase is not Phase.RUNNING
+            and (self.has_unanswered_start or self.is_start_awaited)
+        )
+
     @property
     def is_start_known(self) -> bool:
         """Whether this leader sent its start order."""
@@ -157,6 +165,10 @@
         self._by_job: dict[JobId, dict[tuple, TrackedRun]] = {}
         self.reserved_by_worker: dict[WorkerId, Resources] = {}
         self.used_by_tenant: dict[TeamId, Resources] = {}
+        # The part of it that long-running tasks have.
+        self.long_running_by_tenant: dict[TeamId, Resources] = {}
+        # Runs that were starting when last looked at.
+        self._starting: dict[tuple[str, int], TrackedRun] = {}
         # Expected end of the last run on each worker. An entry is dropped when
         # a run is added, removed or read.
         self.idle_at_by_worker: dict[WorkerId, float] = {}
@@ -174,6 +186,20 @@
         """Return the runs on all incarnations of a worker."""
         return list(self.by_worker.get(worker, {}).values())
 
+    def starting_tenants(self) -> set[TeamId]:
+        """Return the tenants of runs that are starting."""
+        return {r.tenant for r in self._starting.values() if r.is_starting}
+
+    def note_starting(self, run: TrackedRun) -> None:
+        """Record that a run is to be started, or may start anew."""
+        self._starting[run.name, run.number] = run
+
+    def drop_started(self) -> None:
+        """Drop the record of runs that are not starting any more."""
+        self._starting = {
+            name: run for name, run in self._starting.items() if run.is_starting
+        }
+
     def update(
         self, state: ClusterState, job_id: JobId, phase: Phase, now: float
     ) -> list[TrackedRun]:
@@ -233,14 +259,22 @@
             worker, Resources()
         ).plus(run.step.reserved)
         self._add_usage(run)
+        self.note_starting(run)
 
     def _add_usage(self, run: TrackedRun) -> None:
-        used = self.used_by_tenant.get(run.tenant, Resources())
-        self.used_by_tenant[run.tenant] = used.plus(run.step.need)
+        for usage in self._usages(run):
+            used = usage.get(run.tenant, Resources())
+            usage[run.tenant] = used.plus(run.step.need)
 
     def _remove_usage(self, run: TrackedRun) -> None:
-        used = self.used_by_tenant[run.tenant]
-        self.used_by_tenant[run.tenant] = used.minus(run.step.need)
+        for usage in self._usages(run):
+            usage[run.tenant] = usage[run.tenant].minus(run.step.need)
+
+    def _usages(self, run: TrackedRun) -> list[dict[TeamId, Resources]]:
+        """Return the usages by tenant that a run is part of."""
+        if run.step.is_long_running:
+            return [self.used_by_tenant, self.long_running_by_tenant]
+        return [self.used_by_tenant]
 
     def _change_tenant(self, run: TrackedRun, tenant: TeamId) -> None:
         self._remove_usage(run)
@@ -251,6 +285,7 @@
         worker = run.incarnation.worker
         del self.by_worker[worker][(run.name, run.number)]
         del self.by_name[(run.name, run.number)]
+        self._starting.pop((run.name, run.number), None)
         self.idle_at_by_worker.pop(worker, None)
         self.reserved_by_worker[worker] = self.reserved_by_worker[worker].minus(
             run.step.reserved
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -7,6 +7,7 @@
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
 from galenarill.jobs import GANG, Incarnation, Step, TaskKey
+from galenarill.placement.quota import Quota
 from galenarill.placement.reservation_book import ReservationBook, StepId
 from galenarill.routing import Resources
 from galenarill.workers import WorkerReport
@@ -14,7 +15,6 @@
 __all__ = [
     "Candidate",
     "AvailableWorker",
-    "Quota",
     "Placement",
     "Packer",
     "Shape",
@@ -85,31 +85,6 @@
     idle_at: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
-class Quota:
-    """Quota of a tenant.
-
-    Attributes:
-        limit: Upper limit of each resource; 0 means unlimited.
-        used: Resources of the tenant's current runs.
-    """
-
-    limit: Resources
-    used: Resources
-
-    def allows(self, need: Resources) -> bool:
-        """Return whether adding `need` stays within the limit."""
-        total = self.used.plus(need)
-        return all(
-            not limit or value <= limit
-            for limit, value in (
-                (self.limit.cpu, total.cpu),
-                (self.limit.mem_mb, total.mem_mb),
-                (self.limit.gpu, total.gpu),
-            )
-        )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """The workers assigned to a task or gang.
@@ -186,6 +161,8 @@
             pool: max((w.idle_at for w in members), default=-math.inf)
             for pool, members in self._available.items()
         }
+        # Tenants with a task that waits for starts which are pending.
+        self._held_tenants: set[TeamId] = set()
         # Shapes that fit nowhere. No capacity is released while packing.
         self._exhausted: set[Shape] = set()
         # Earliest end of tasks of a shape that only reservations exclude. Tasks
@@ -213,17 +190,24 @@
             is None
         )
 
-    def allows(self, tenant: TeamId, need: Resources) -> bool:
-        """Return whether a tenant's quota allows `need`."""
+    def allows(self, tenant: TeamId, step: Step) -> bool:
+        """Return whether a tenant's quota allows a task, or the whole gang.
+
+        A task that only waits for starts which are pending holds back those
+        behind it, since each of them would be another one to wait for.
+        """
         quota = self._quotas.get(tenant)
-        return quota is None or quota.allows(need)
+        if quota is None:
+            return True
+        if quota.awaits_pending_starts(step):
+            self._held_tenants.add(tenant)
+        return tenant not in self._held_tenants and quota.allows(step)
 
     def place(self, candidate: Candidate) -> Placement | None:
         """Assign a task or gang, or return None if it can't be placed."""
         step = candidate.step
         count = step.count if candidate.key.index == GANG else 1
-        need = step.need.times(count)
-        if not self.allows(candidate.tenant, need):
+        if not self.allows(candidate.tenant, step):
             return None
         preferred = self._find_preferred(
             shape_of(candidate.pool, step), candidate.ends_at, candidate.step_id
@@ -246,7 +230,7 @@
             return None
         quota = self._quotas.get(candidate.tenant)
         if quota is not None:
-            quota.used = quota.used.plus(need)
+            quota.add(step)
         members = []
         for member, available_worker in enumerate(workers):
             self._reserve(candidate, available_worker)
--- a/galenarill/placement/preemption.py
+++ b/galenarill/placement/preemption.py
@@ -8,9 +8,9 @@
 from galenarill.placement.plan import (
     AvailableWorker,
     Candidate,
-    Quota,
     is_eligible,
 )
+from galenarill.placement.quota import Quota
 from galenarill.routing import Resources
 
 __all__ = ["ActiveRun", "Preemption", "choose_victims"]
@@ -86,7 +86,7 @@
         need = candidate.step.reserved
         quota = quotas.get(candidate.tenant)
         if candidate.key.index == GANG or (
-            quota is not None and not quota.allows(candidate.step.need)
+            quota is not None and not quota.allows(candidate.step)
         ):
             continue
         choices = []
@@ -122,7 +122,7 @@
         free[worker] = free[worker].minus(need)
         candidate.siblings[worker] = candidate.siblings.get(worker, 0) + 1
         if quota is not None:
-            quota.used = quota.used.plus(candidate.step.need)
+            quota.add(candidate.step)
     # The victims of one task may free enough capacity for another.
     unnecessary = [
         active_run
--- /dev/null
+++ b/galenarill/placement/quota.py
@@ -0,0 +1,111 @@
+"""Upper limits of tenants, and what the tenants have running."""
+
+import dataclasses
+from collections.abc import Iterator
+
+import msgspec
+
+from galenarill.jobs import Step
+from galenarill.routing import Resources
+
+__all__ = ["Quota", "quota_need"]
+
+
+@dataclasses.dataclass(slots=True)
+class Quota:
+    """Quota of a tenant.
+
+    Attributes:
+        limit: Upper limit of each resource; 0 means unlimited.
+        used: Resources of the tenant's current runs.
+        used_long_running: The part of `used` that long-running tasks have.
+        has_pending_starts: Whether a run of the tenant may be about to start.
+    """
+
+    limit: Resources
+    used: Resources = dataclasses.field(default_factory=Resources)
+    used_long_running: Resources = dataclasses.field(default_factory=Resources)
+    has_pending_starts: bool = False
+
+    def allows(self, step: Step) -> bool:
+        """Return whether a task of a step, or its whole gang, may start now.
+
+        What stays within the limit may start. A task that doesn't may exceed
+        the limit if the tenant is below it, so that it is exceeded by less than
+        one task, and if waiting would not help: less than half of the limit is
+        in use, or the task is finite and doesn't fit beside the tenant's
+        long-running tasks. Otherwise it would wait for as long as they last.
+        Only resources that the task needs count.
+
+        Starts may take effect in any order, so no other one may be pending when
+        a task exceeds the limit.
+
+        Example:
+            >>> quota = Quota(Resources(10), Resources(4))
+            >>> quota.allows(Step(1, Resources(7)))
+            True
+            >>> quota = Quota(Resources(10), Resources(5))
+            >>> quota.allows(Step(1, Resources(7)))
+            False
+        """
+        return self._fits(step) or (
+            not self.has_pending_starts and self._may_exceed(step)
+        )
+
+    def awaits_pending_starts(self, step: Step) -> bool:
+        """Return whether only starts that are pending keep a task waiting."""
+        return (
+            self.has_pending_starts
+            and not self._fits(step)
+            and self._may_exceed(step)
+        )
+
+    def add(self, step: Step) -> None:
+        """Record the start of a task of a step, or of its whole gang."""
+        need = quota_need(step)
+        self.used = self.used.plus(need)
+        if step.is_long_running:
+            self.used_long_running = self.used_long_running.plus(need)
+        self.has_pending_starts = True
+
+    def _fits(self, step: Step) -> bool:
+        """Return whether the limit isn't exceeded in what a task needs."""
+        return all(
+            not limit or not need or used + need <= limit
+            for limit, used, _, need in self._amounts(quota_need(step))
+        )
+
+    def _may_exceed(self, step: Step) -> bool:
+        """Return whether the limit may be exceeded by a task."""
+        members = step.count if step.is_gang else 1
+        return all(
+            not limit
+            or not need
+            or used + members * need <= limit
+            or (
+                used + (members - 1) * need < limit
+                and (
+                    2 * used < limit
+                    or (
+                        not step.is_long_running
+                        and used_long_running + members * need > limit
+                    )
+                )
+            )
+            for limit, used, used_long_running, need in self._amounts(step.need)
+        )
+
+    def _amounts(self, need: Resources) -> Iterator[tuple[int, int, int, int]]:
+        """Return limit, usage, that of long-running tasks and need."""
+        return zip(
+            msgspec.structs.astuple(self.limit),
+            msgspec.structs.astuple(self.used),
+            msgspec.structs.astuple(self.used_long_running),
+            msgspec.structs.astuple(need),
+            strict=True,
+        )
+
+
+def quota_need(step: Step) -> Resources:
+    """Return what a task of a step, or its whole gang, adds to the usage."""
+    return step.need.times(step.count) if step.is_gang else step.need
