Hold no worker for a long-running task that waits for its tenant's limit

Cause: `WorkerHolds` looked at what found no worker, whatever the reason. Change: only tasks that the limit allows count as waiting for capacity. Measured: test_no_worker_is_held_for_a_task_that_waits_for_the_limit failed before (4 of 5 finite tasks ran beside an idle worker) and passes.

--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -462,7 +462,7 @@
                     group.is_late(wall_time),
                 )
             )
-        self._limit_monitor.update(waiting, quotas)
+        held_by_limit = self._limit_monitor.update(waiting, quotas)
         self._advice_requests.send(waiting, available, make_candidate)
         self._preemptor.preempt(
             [group for group in waiting if not group.is_trial],
@@ -470,7 +470,11 @@
             available,
             quotas,
         )
-        self._capacity_keeper.update(waiting, make_candidate, available)
+        self._capacity_keeper.update(
+            [group for group in waiting if group.step_id not in held_by_limit],
+            make_candidate,
+            available,
+        )
         if placements:
             self._start(placements, sum(len(group.keys) for group in waiting))
 
--- a/galenarill/coordinator/tests/test_limits.py
+++ b/galenarill/coordinator/tests/test_limits.py
@@ -188,3 +188,16 @@
     assert lines[0]["tasks"] == 10
     assert lines[0]["job"] == "b0"
     assert lines[0]["used"]["cpu"] == lines[0]["limit"]["cpu"] == 2
+
+
+def test_no_worker_is_held_for_a_task_that_waits_for_the_limit(make):
+    """A worker stood idle for a task that its tenant's limit held back."""
+    simulation = make(workers=2, limit=4)
+    submit(simulation, "l1", 3, is_long_running=True)
+    simulation.advance(1)
+    submit(simulation, "l2", 3, is_long_running=True)
+    simulation.advance(3)
+    step = Step(5, Resources(1))
+    simulation.submit_step("f", step)
+    simulation.advance(1)
+    assert running(simulation) == ["f"] * 5 + ["l1"]
