Count a task above the limit in the capacity that admission expects

Cause: admission divides a tenant's waiting work by its limit. A task of more than half of the limit may exceed it now, and one larger than the limit runs alone, so jobs could be rejected as too late that are not: of a tenant with a limit below one task, all that had work ahead. Change: the most that a tenant may use is its limit and one task less one unit, where a task takes over half of the limit. Below that, only long-running tasks make finite ones exceed it, and these have more of the limit than the excess. Measured: the parameter of 1 millicore of test_a_wrong_estimate_rejects_no_job_that_could_be_done failed before and passes; the other two are unchanged.

--- a/galenarill/admission/decision.py
+++ b/galenarill/admission/decision.py
@@ -201,7 +201,6 @@
         now: Monotonic time in seconds.
     """
     maximum = backlog.max_capacity
-    limited = _limited(maximum, submission.limit)
     priority = submission.queue.priority
     objective_at = submission.submitted_at + submission.objective_seconds
     others = submission.unlimited_tenants - {submission.tenant}
@@ -217,6 +216,7 @@
         )
         urgent = backlog.more_urgent_work(step, priority, others)
         both = own.plus(*urgent)
+        limited = _limited(maximum, submission.limit, step.need)
         waits += [
             (_seconds_until_started(both, maximum), both.work, maximum, False),
             (_seconds_until_started(own, limited), own.work, limited, True),
@@ -272,12 +272,29 @@
     return cpu, mem_mb, gpu
 
 
-def _limited(capacity: Resources, limit: Resources) -> Resources:
-    """Return the part of a capacity that a limit allows; 0 is no limit."""
+def _limited(
+    capacity: Resources, limit: Resources, need: Resources
+) -> Resources:
+    """Return the most of a capacity that a tenant may use at a time.
+
+    Args:
+        capacity: Capacity.
+        limit: Upper limit of the tenant; 0 is no limit.
+        need: Need of its largest task. Finite tasks get more than the limit
+            only where one takes over half of it: others exceed it only beside
+            long-running tasks, which then have more of it than the excess.
+    """
+
+    def limited(capacity: int, limit: int, need: int) -> int:
+        if not limit:
+            return capacity
+        excess = need - 1 if 2 * need > limit else 0
+        return min(capacity, limit + excess)
+
     return Resources(
-        min(capacity.cpu, limit.cpu or capacity.cpu),
-        min(capacity.mem_mb, limit.mem_mb or capacity.mem_mb),
-        min(capacity.gpu, limit.gpu or capacity.gpu),
+        limited(capacity.cpu, limit.cpu, need.cpu),
+        limited(capacity.mem_mb, limit.mem_mb, need.mem_mb),
+        limited(capacity.gpu, limit.gpu, need.gpu),
     )
 
 
--- a/galenarill/admission/tests/test_decision.py
+++ b/galenarill/admission/tests/test_decision.py
@@ -50,10 +50,13 @@
     )
 
 
-@pytest.mark.parametrize("limit", [Resources(), Resources(cpu=5000)])
-def test_a_wrong_estimate_rejects_no_job_that_could_be_done(limit):
-    """Guards against estimates that are four times the actual durations."""
-    slots = 5 if limit.cpu else 10
+@pytest.mark.parametrize(("limit_cpu", "slots"), [(0, 10), (5000, 5), (1, 1)])
+def test_a_wrong_estimate_rejects_no_job_that_could_be_done(limit_cpu, slots):
+    """Guards against estimates that are four times the actual durations.
+
+    Nor may a limit below one task, which runs alone then, reject all jobs.
+    """
+    limit = Resources(limit_cpu)
     # At 0.25 s for a task, the slots do 24 tasks each within the 6 s. The job
     # can start with the last tasks ahead; that it has 8 itself isn't counted.
     could_be_done = slots * 24
