Reject a job with a gang that its tenant's limit rules out

Cause: a gang may exceed the limit by less than one member, since QUOTA allows "one task more". One that needs more than that even when its tenant runs nothing can never start, which is known when the job is submitted; it was accepted and pending for good. Change: 429 with the reason and a Retry-After of 60 s, as only a change of the configuration helps; not for a job whose first attempt is being accepted. Single tasks are never rejected, since one that is larger than the limit runs alone. Measured: test_a_gang_that_its_limit_rules_out_is_rejected failed before (accepted) and passes.

--- a/galenarill/cluster/messages.py
+++ b/galenarill/cluster/messages.py
@@ -173,6 +173,8 @@
     UNKNOWN_ZONE = "unknown zone"
     # The job certainly comes too late to be useful.
     TOO_LATE = "too late"
+    # A gang of the job needs more than its tenant may ever use.
+    ABOVE_LIMIT = "gang above the tenant's upper limit"
     # The tenant has cancelled too many jobs that are not known.
     TOO_MANY_WITHDRAWN = "too many withdrawn jobs"
 
@@ -187,6 +189,7 @@
         Code.ID_IN_USE,
         Code.UNKNOWN_ZONE,
         Code.TOO_LATE,
+        Code.ABOVE_LIMIT,
         Code.TOO_MANY_WITHDRAWN,
     }
 )
--- a/galenarill/cluster/tests/test_resent_requests.py
+++ b/galenarill/cluster/tests/test_resent_requests.py
@@ -29,6 +29,7 @@
     Code.ID_IN_USE,
     Code.INVALID,
     Code.TOO_LATE,
+    Code.ABOVE_LIMIT,
     Code.UNKNOWN_ZONE,
 ]
 SUBMIT = SubmitJob(
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -31,6 +31,7 @@
     RestoreZone,
     StartWave,
 )
+from galenarill.placement import Quota
 from galenarill.routing import Queue, Refusal
 
 __all__ = ["RequestHandler"]
@@ -42,6 +43,9 @@
 # Time after which a cancellation that is rejected is to be sent again, in
 # seconds.
 WITHDRAWAL_RETRY_SECONDS = 10
+# Time after which a job that its tenant's limit rules out is to be sent again,
+# in seconds. Only a change of the configuration helps.
+ABOVE_LIMIT_RETRY_SECONDS = 60
 
 _REFUSALS = {
     Refusal.NO_CONFIGURATION: Code.NO_CONFIGURATION,
@@ -144,6 +148,14 @@
         if request.job in self._state.jobs:
             return Reply(call, Code.DONE)
         if not self._state.withdrawn.covers(request.job, queue.path, tenant):
+            if self._exceeds_limit(request, tenant):
+                logger.info(
+                    "job above its tenant's limit rejected",
+                    extra={"job": request.job, "tenant": tenant},
+                )
+                return Reply(
+                    call, Code.ABOVE_LIMIT, number=ABOVE_LIMIT_RETRY_SECONDS
+                )
             retry_after = self._retry_after_seconds(request, queue, tenant)
             if retry_after is not None:
                 return Reply(call, Code.TOO_LATE, number=retry_after)
@@ -158,6 +170,23 @@
         )
         return Reply(call, Code.UNKNOWN)
 
+    def _exceeds_limit(self, request: msg.SubmitJob, tenant: TeamId) -> bool:
+        """Return whether a gang of a job needs more than its tenant may use.
+
+        A job that is being accepted doesn't: its first attempt may be
+        committed.
+        """
+        settings = self._state.routing.tenant(tenant)
+        if settings is None or request.job in self._accepting:
+            return False
+        quota = Quota(settings.upper_limit)
+        gangs = {
+            (step.need, step.count): step
+            for step in request.spec.steps
+            if step.is_gang
+        }
+        return not all(quota.ever_allows(step) for step in gangs.values())
+
     def _retry_after_seconds(
         self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
     ) -> int | None:
--- a/galenarill/coordinator/tests/test_limits.py
+++ b/galenarill/coordinator/tests/test_limits.py
@@ -5,10 +5,15 @@
 
 import pytest
 
+from galenarill.cluster import Code
 from galenarill.coordinator.tests.limit_plays import LimitPlay, set_limit
+from galenarill.coordinator.tests.request_cluster import (
+    RequestCluster,
+    make_queue,
+)
 from galenarill.coordinator.tests.simulation import Simulation
 from galenarill.jobs import Step
-from galenarill.routing import Resources
+from galenarill.routing import Resources, Tenant
 
 # More seeds are played by hand.
 SEEDS = range(int(os.environ.get("LIMIT_PLAYS", "10")))
@@ -201,3 +206,19 @@
     simulation.submit_step("f", step)
     simulation.advance(1)
     assert running(simulation) == ["f"] * 5 + ["l1"]
+
+
+def test_a_gang_that_its_limit_rules_out_is_rejected():
+    """It was accepted and pending for good."""
+    cluster = RequestCluster()
+    queue = make_queue("q", "/a/")
+    tenant = Tenant("t", ("key",), 1.0, Resources(4))
+    cluster.configure(queue, tenants=(tenant,))
+    gang = Step(3, Resources(2), is_gang=True)
+    assert cluster.submit("a", Step(1, Resources(9)), gang) is Code.ABOVE_LIMIT
+    assert not cluster.simulation.state.jobs
+    smaller = Step(2, Resources(3), is_gang=True)
+    assert cluster.submit("a", smaller) is Code.DONE
+    cluster.configure(queue)
+    assert cluster.submit("b", gang) is Code.DONE
+    cluster.simulation.close()
--- a/galenarill/placement/quota.py
+++ b/galenarill/placement/quota.py
@@ -52,6 +52,10 @@
             not self.has_pending_starts and self._may_exceed(step)
         )
 
+    def ever_allows(self, step: Step) -> bool:
+        """Return whether the limit allows a step if nothing is in use."""
+        return Quota(self.limit).allows(step)
+
     def awaits_pending_starts(self, step: Step) -> bool:
         """Return whether only starts that are pending keep a task waiting."""
         return (
--- a/galenarill/platform/front.py
+++ b/galenarill/platform/front.py
@@ -32,6 +32,7 @@
     Code.INVALID: 400,
     Code.ID_IN_USE: 409,
     Code.TOO_LATE: 429,
+    Code.ABOVE_LIMIT: 429,
     Code.TOO_MANY_WITHDRAWN: 429,
 }
 
