Make room at a tenant's limit for a task that it has held back for 2 s

Cause: tasks that fit took the rest of a limit as soon as it was free, one by one, so a larger one of the same tenant that comes before them, such as a long-running one, waited for as long as they came. Change: a task that its limit has held back for 2 s, with a worker free for it, keeps tasks behind it in the order of placement from starting, while half or more of the limit is in use and if it can start once finite tasks have ended. Not answered: a finite task that is late stays behind those in time, as before.

--- a/galenarill/coordinator/limits.py
+++ b/galenarill/coordinator/limits.py
@@ -13,6 +13,9 @@
 
 _HELD_TASKS = meter().create_gauge("galenarill_tasks_held_by_limit")
 
+# Time that a task waits for its tenant's limit until no others of the tenant
+# start before it, in seconds. As long as until a worker is held for a task.
+OVERDUE_SECONDS = 2.0
 # Time that a tenant's tasks have waited for its limit when they are first
 # logged, and time between two lines on one tenant, in seconds.
 FIRST_LINE_SECONDS = 1.0
@@ -30,6 +33,14 @@
         # It still has the number of an earlier term of this process.
         _HELD_TASKS.set(0)
 
+    def overdue_steps(self, now: float) -> set[StepId]:
+        """Return the steps that have been held back for too long."""
+        return {
+            step_id
+            for step_id, since in self._held_since.items()
+            if now >= since + OVERDUE_SECONDS
+        }
+
     def update(
         self, waiting: list[TaskGroup], quotas: dict[TeamId, Quota]
     ) -> set[StepId]:
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -434,9 +434,10 @@
                 others, available, quotas, usage, releases, make_candidate
             )
         )
+        overdue = self._limit_monitor.overdue_steps(now)
         placements += place_groups(
             others,
-            Packer(available, quotas, held, reservations, now),
+            Packer(available, quotas, held, reservations, now, overdue),
             usage,
             wall_time,
             make_candidate,
@@ -447,7 +448,7 @@
                 available[pool] += members
             placements += place_groups(
                 [group for group in waiting if not group.is_trial],
-                Packer(available, quotas, held, reservations, now),
+                Packer(available, quotas, held, reservations, now, overdue),
                 usage,
                 wall_time,
                 make_candidate,
--- a/galenarill/coordinator/tests/test_limits.py
+++ b/galenarill/coordinator/tests/test_limits.py
@@ -208,6 +208,32 @@
     assert running(simulation) == ["f"] * 5 + ["l1"]
 
 
+def test_finite_tasks_make_room_for_a_long_running_one_at_a_limit(make):
+    """Small tasks behind it took the rest of the limit for good."""
+    simulation = make(workers=4, limit=8)
+    for number in range(80):
+        submit(simulation, f"f{number}", 1)
+        if number == 20:
+            submit(simulation, "l", 3, is_long_running=True)
+        simulation.advance(0.2)
+    assert running(simulation).count("l") == 1
+    assert len(running(simulation)) == 6, "finite tasks use the rest"
+
+
+def test_a_gang_that_never_fits_holds_nothing_back(make):
+    """A limit was lowered below what a gang and a long-running task need."""
+    simulation = make(workers=4)
+    submit(simulation, "l", 4, is_long_running=True)
+    simulation.advance(1)
+    set_limit(simulation, 8)
+    simulation.network.gangs.add("f1.0.0")
+    submit(simulation, "f1", 3, count=4, is_gang=True)
+    simulation.advance(3)
+    submit(simulation, "f2", 1, count=4)
+    simulation.advance(0.5)
+    assert running(simulation) == ["f2"] * 4 + ["l"]
+
+
 def test_a_gang_that_its_limit_rules_out_is_rejected():
     """It was accepted and pending for good."""
     cluster = RequestCluster()
--- a/galenarill/placement/backlog.py
+++ b/galenarill/placement/backlog.py
@@ -189,7 +189,7 @@
                 or packer.is_exhausted(
                     group.shape, group.expected_seconds, group.step_id
                 )
-                or not packer.allows(group.tenant, group.step)
+                or not packer.allows(group.tenant, group.step, group.step_id)
             ):
                 entries.pop()
                 continue
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -134,6 +134,7 @@
         held: Collection[WorkerId] = (),
         reservations: ReservationBook | None = None,
         now: float = 0.0,
+        overdue: Collection[StepId] = (),
     ):
         """Create a packer; placing updates `available` and `quotas`.
 
@@ -143,8 +144,10 @@
             held: Workers that get long-running tasks only.
             reservations: Reservations for waiting tasks; placing updates them.
             now: Time on the monotonic clock.
+            overdue: Steps that quotas have kept waiting for too long.
         """
         self._held = held
+        self._overdue = overdue
         self._reservations = reservations or None
         self._now = now
         self._available = {
@@ -161,7 +164,7 @@
             pool: max((w.idle_at for w in members), default=-math.inf)
             for pool, members in self._available.items()
         }
-        # Tenants with a task that waits for starts which are pending.
+        # Tenants with a task that holds back those behind it.
         self._held_tenants: set[TeamId] = set()
         # Shapes that fit nowhere. No capacity is released while packing.
         self._exhausted: set[Shape] = set()
@@ -190,16 +193,20 @@
             is None
         )
 
-    def allows(self, tenant: TeamId, step: Step) -> bool:
+    def allows(self, tenant: TeamId, step: Step, step_id: StepId) -> bool:
         """Return whether a tenant's quota allows a task, or the whole gang.
 
-        A task that only waits for starts which are pending holds back those
-        behind it, since each of them would be another one to wait for.
+        Some tasks hold back those of the tenant that are asked about after
+        them: one that only waits for starts which are pending, since others
+        would prolong that, and one that is overdue, since smaller ones could
+        take what it waits for as long as they come.
         """
         quota = self._quotas.get(tenant)
         if quota is None:
             return True
-        if quota.awaits_pending_starts(step):
+        if quota.awaits_pending_starts(step) or (
+            step_id in self._overdue and quota.needs_room(step)
+        ):
             self._held_tenants.add(tenant)
         return tenant not in self._held_tenants and quota.allows(step)
 
@@ -207,7 +214,7 @@
         """Assign a task or gang, or return None if it can't be placed."""
         step = candidate.step
         count = step.count if candidate.key.index == GANG else 1
-        if not self.allows(candidate.tenant, step):
+        if not self.allows(candidate.tenant, step, candidate.step_id):
             return None
         preferred = self._find_preferred(
             shape_of(candidate.pool, step), candidate.ends_at, candidate.step_id
--- a/galenarill/placement/quota.py
+++ b/galenarill/placement/quota.py
@@ -64,6 +64,24 @@
             and self._may_exceed(step)
         )
 
+    def needs_room(self, step: Step) -> bool:
+        """Return whether a task can start once finite tasks have ended.
+
+        False while less than half of the limit is in use: others may use what
+        a gang waits for.
+        """
+        return (
+            not self.allows(step)
+            and any(
+                limit and used + need > limit and 2 * used >= limit
+                for limit, used, _, need in self._amounts(quota_need(step))
+                if need
+            )
+            and Quota(
+                self.limit, self.used_long_running, self.used_long_running
+            ).allows(step)
+        )
+
     def add(self, step: Step) -> None:
         """Record the start of a task of a step, or of its whole gang."""
         need = quota_need(step)
