Explain a tenant's usage and limit with where a job would go

Cause: `galenarill explain` said that a tenant's limit leaves workers out, and not how much of it is in use. Change: usage and limit of each limited resource, in the answer and the table. Measured: test_tenant_limit_leaves_workers_out asks for both and passes.

--- a/galenarill/cli/explain.py
+++ b/galenarill/cli/explain.py
@@ -111,6 +111,11 @@
             for rule, number in sorted(answer["left_out"].items())
         ),
         ("  usable", answer["usable"]),
+        *(
+            (f"tenant's {name}", f"{answer['tenant_used'][name]} of {limit}")
+            for name, limit in answer.get("tenant_limit", {}).items()
+            if limit
+        ),
         ("worker now", worker),
         ("tasks placed now", placed),
     ]
--- a/galenarill/coordinator/explaining.py
+++ b/galenarill/coordinator/explaining.py
@@ -4,6 +4,8 @@
 import enum
 from typing import Protocol
 
+import msgspec
+
 from galenarill.common import JobId, TeamId, WorkerId, monotonic_now, wall_now
 from galenarill.coordinator.admitting import JobAdmitter
 from galenarill.coordinator.placing import PlacementSnapshot, Placer
@@ -13,6 +15,7 @@
 from galenarill.placement import (
     Candidate,
     Packer,
+    Quota,
     TaskGroup,
     make_group,
     place_groups,
@@ -116,8 +119,11 @@
             if reservations is None
             or reservations.admits(worker, step.reserved, ends_at, own.step_id)
         }
-        quota = snapshot.quotas.get(tenant)
-        is_allowed = quota is None or quota.allows(step)
+        quota = snapshot.quotas.get(tenant, Quota(Resources()))
+        # Placing on the copies changes what is in use.
+        limit = msgspec.structs.asdict(quota.limit)
+        used = msgspec.structs.asdict(quota.used)
+        is_allowed = quota.allows(step)
         workers = _place(own, snapshot, wall_time)
 
         def rule_of(session: WorkerSession) -> enum.Enum | None:
@@ -153,6 +159,8 @@
                 rule.value: count for rule, count in rules.items() if rule
             },
             "usable": rules[None],
+            "tenant_limit": limit,
+            "tenant_used": used,
             "worker": workers[0] if workers else None,
             "tasks": step.count,
             "tasks_placed": len(workers),
--- a/galenarill/coordinator/limits.py
+++ b/galenarill/coordinator/limits.py
@@ -2,9 +2,10 @@
 
 import logging
 
+import msgspec
+
 from galenarill.common import TeamId, monotonic_now
 from galenarill.placement import Quota, StepId, TaskGroup, quota_need
-from galenarill.routing import Resources
 from galenarill.telemetry import meter
 
 __all__ = ["LimitMonitor"]
@@ -92,12 +93,8 @@
                 "job": first.job,
                 "task": list(first.step_id[1:]),
                 "seconds": round(seconds, 3),
-                "need": _amounts(quota_need(first.step)),
-                "used": _amounts(quota.used),
-                "limit": _amounts(quota.limit),
+                "need": msgspec.structs.asdict(quota_need(first.step)),
+                "used": msgspec.structs.asdict(quota.used),
+                "limit": msgspec.structs.asdict(quota.limit),
             },
         )
-
-
-def _amounts(amount: Resources) -> dict[str, int]:
-    return {"cpu": amount.cpu, "mem_mb": amount.mem_mb, "gpu": amount.gpu}
--- a/galenarill/coordinator/tests/test_explaining.py
+++ b/galenarill/coordinator/tests/test_explaining.py
@@ -119,6 +119,7 @@
     simulation.advance(1.0)
     answer = explanation_of(simulation, cpu=1)
     assert answer["left_out"] == {"tenant's upper limit": 4}
+    assert answer["tenant_limit"]["cpu"] == answer["tenant_used"]["cpu"] == 2
     assert answer["worker"] is None
 
 
