Look at each kind of task once a round when a limit denies it

Change: what fits is checked first; what a quota denies is denied to others of the same need for the rest of the round, since nothing ends meanwhile.

--- a/galenarill/coordinator/limits.py
+++ b/galenarill/coordinator/limits.py
@@ -5,7 +5,14 @@
 import msgspec
 
 from galenarill.common import TeamId, monotonic_now
-from galenarill.placement import Quota, StepId, TaskGroup, quota_need
+from galenarill.placement import (
+    Quota,
+    QuotaKind,
+    StepId,
+    TaskGroup,
+    quota_kind,
+    quota_need,
+)
 from galenarill.telemetry import meter
 
 __all__ = ["LimitMonitor"]
@@ -53,9 +60,14 @@
         """
         now = monotonic_now()
         held: dict[TeamId, list[TaskGroup]] = {}
+        denied: set[tuple[TeamId, QuotaKind]] = set()
         for group in waiting:
             quota = quotas.get(group.tenant)
-            if quota is not None and not quota.allows(group.step):
+            if quota is None or quota.fits(group.step):
+                continue
+            kind = group.tenant, quota_kind(group.step)
+            if kind in denied or not quota.allows(group.step):
+                denied.add(kind)
                 held.setdefault(group.tenant, []).append(group)
         self._held_since = {
             group.step_id: self._held_since.get(group.step_id, now)
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -7,7 +7,7 @@
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
 from galenarill.jobs import GANG, Incarnation, Step, TaskKey
-from galenarill.placement.quota import Quota
+from galenarill.placement.quota import Quota, quota_kind
 from galenarill.placement.reservation_book import ReservationBook, StepId
 from galenarill.routing import Resources
 from galenarill.workers import WorkerReport
@@ -166,6 +166,9 @@
         }
         # Tenants with a task that holds back those behind it.
         self._held_tenants: set[TeamId] = set()
+        # Tenant, whether the step is overdue, and kind of what a quota denies.
+        # Nothing ends while packing.
+        self._denied: set[tuple] = set()
         # Shapes that fit nowhere. No capacity is released while packing.
         self._exhausted: set[Shape] = set()
         # Earliest end of tasks of a shape that only reservations exclude. Tasks
@@ -204,11 +207,23 @@
         quota = self._quotas.get(tenant)
         if quota is None:
             return True
+        if tenant in self._held_tenants:
+            return False
+        if quota.fits(step):
+            return True
+        is_overdue = step_id in self._overdue
+        kind = (tenant, is_overdue, *quota_kind(step))
+        if kind in self._denied:
+            return False
         if quota.awaits_pending_starts(step) or (
-            step_id in self._overdue and quota.needs_room(step)
+            is_overdue and quota.needs_room(step)
         ):
             self._held_tenants.add(tenant)
-        return tenant not in self._held_tenants and quota.allows(step)
+            return False
+        if quota.allows(step):
+            return True
+        self._denied.add(kind)
+        return False
 
     def place(self, candidate: Candidate) -> Placement | None:
         """Assign a task or gang, or return None if it can't be placed."""
--- a/galenarill/placement/quota.py
+++ b/galenarill/placement/quota.py
@@ -8,7 +8,11 @@
 from galenarill.jobs import Step
 from galenarill.routing import Resources
 
-__all__ = ["Quota", "quota_need"]
+__all__ = ["Quota", "QuotaKind", "quota_kind", "quota_need"]
+
+# Need of each task, number of tasks that start together, and whether they are
+# long-running.
+QuotaKind = tuple[Resources, int, bool]
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,7 +52,7 @@
             >>> quota.allows(Step(1, Resources(7)))
             False
         """
-        return self._fits(step) or (
+        return self.fits(step) or (
             not self.has_pending_starts and self._may_exceed(step)
         )
 
@@ -56,11 +60,28 @@
         """Return whether the limit allows a step if nothing is in use."""
         return Quota(self.limit).allows(step)
 
+    def fits(self, step: Step) -> bool:
+        """Return whether a start keeps the limit of what a task needs."""
+        need, limit, used = quota_need(step), self.limit, self.used
+        return (
+            (not limit.cpu or not need.cpu or used.cpu + need.cpu <= limit.cpu)
+            and (
+                not limit.mem_mb
+                or not need.mem_mb
+                or used.mem_mb + need.mem_mb <= limit.mem_mb
+            )
+            and (
+                not limit.gpu
+                or not need.gpu
+                or used.gpu + need.gpu <= limit.gpu
+            )
+        )
+
     def awaits_pending_starts(self, step: Step) -> bool:
         """Return whether only starts that are pending keep a task waiting."""
         return (
             self.has_pending_starts
-            and not self._fits(step)
+            and not self.fits(step)
             and self._may_exceed(step)
         )
 
@@ -90,13 +111,6 @@
             self.used_long_running = self.used_long_running.plus(need)
         self.has_pending_starts = True
 
-    def _fits(self, step: Step) -> bool:
-        """Return whether the limit isn't exceeded in what a task needs."""
-        return all(
-            not limit or not need or used + need <= limit
-            for limit, used, _, need in self._amounts(quota_need(step))
-        )
-
     def _may_exceed(self, step: Step) -> bool:
         """Return whether the limit may be exceeded by a task."""
         members = step.count if step.is_gang else 1
@@ -128,6 +142,12 @@
         )
 
 
+def quota_kind(step: Step) -> QuotaKind:
+    """Return what decides whether a limit allows a task, or a whole gang."""
+    members = step.count if step.is_gang else 1
+    return step.need, members, step.is_long_running
+
+
 def quota_need(step: Step) -> Resources:
     """Return what a task of a step, or its whole gang, adds to the usage."""
     return step.need.times(step.count) if step.is_gang else step.need
