Hold back no tasks for a start that a worker has left unanswered

Cause: a task above the limit waits until the pending starts of its tenant are over, and tasks behind it wait with it. With an order that a worker leaves unanswered that takes as long as its lease, some 6 s in which the tenant would start nothing. Change: the task above the limit waits on, others go ahead.

--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -566,7 +566,11 @@
         runs = self._context.runs
         used = dict(runs.used_by_tenant)
         long_running = dict(runs.long_running_by_tenant)
-        starting = runs.starting_tenants()
+        starting_runs = runs.starting_runs()
+        starting = {run.tenant for run in starting_runs}
+        unanswered = {
+            run.tenant for run in starting_runs if run.has_unanswered_start
+        }
         for _, start in proposed:
             _add(used, start.tenant, start.step.need)
             starting.add(start.tenant)
@@ -580,6 +584,7 @@
                 used.get(tenant.name, Resources()),
                 long_running.get(tenant.name, Resources()),
                 tenant.name in starting,
+                tenant.name in unanswered,
             )
             for tenant in tenants
         }
--- a/galenarill/coordinator/runs.py
+++ b/galenarill/coordinator/runs.py
@@ -186,9 +186,9 @@
         """Return the runs on all incarnations of a worker."""
         return list(self.by_worker.get(worker, {}).values())
 
-    def starting_tenants(self) -> set[TeamId]:
-        """Return the tenants of runs that are starting."""
-        return {r.tenant for r in self._starting.values() if r.is_starting}
+    def starting_runs(self) -> list[TrackedRun]:
+        """Return the runs that are starting."""
+        return [run for run in self._starting.values() if run.is_starting]
 
     def note_starting(self, run: TrackedRun) -> None:
         """Record that a run is to be started, or may start anew."""
--- a/galenarill/placement/quota.py
+++ b/galenarill/placement/quota.py
@@ -24,12 +24,15 @@
         used: Resources of the tenant's current runs.
         used_long_running: The part of `used` that long-running tasks have.
         has_pending_starts: Whether a run of the tenant may be about to start.
+        has_unanswered_starts: Whether that may take as long as a lease, since
+            a worker has left an order unanswered.
     """
 
     limit: Resources
     used: Resources = dataclasses.field(default_factory=Resources)
     used_long_running: Resources = dataclasses.field(default_factory=Resources)
     has_pending_starts: bool = False
+    has_unanswered_starts: bool = False
 
     def allows(self, step: Step) -> bool:
         """Return whether a task of a step, or its whole gang, may start now.
@@ -78,9 +81,13 @@
         )
 
     def awaits_pending_starts(self, step: Step) -> bool:
-        """Return whether only starts that are pending keep a task waiting."""
+        """Return whether a task may start as soon as pending starts are over.
+
+        False if that may take long, so that no others wait for it.
+        """
         return (
             self.has_pending_starts
+            and not self.has_unanswered_starts
             and not self.fits(step)
             and self._may_exceed(step)
         )
--- a/galenarill/placement/tests/test_plan.py
+++ b/galenarill/placement/tests/test_plan.py
@@ -1,5 +1,6 @@
 """Placement respects capacity, quotas, labels and gangs."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -90,6 +91,23 @@
     ) == [("s", ["w1"])]
 
 
+@pytest.mark.parametrize(
+    ("pending", "unanswered", "expected"),
+    [(False, False, ["big"]), (True, False, []), (True, True, ["small"])],
+)
+def test_a_task_above_the_limit_waits_for_pending_starts(
+    pending, unanswered, expected
+):
+    """Small tasks wait with it, but not for a worker that doesn't answer."""
+    in_use = Resources(6)
+    quota = Quota(Resources(10), in_use, in_use, pending, unanswered)
+    big, small = task("big"), task("small")
+    big.step = Step(1, Resources(5))
+    available = {"p": [available_worker("w1", 8)]}
+    placements = place_tasks([big, small], available, {"t": quota})
+    assert [p.candidate.job for p in placements] == expected
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     st.lists(st.integers(0, 4), min_size=1, max_size=4),
