Let a task wait for pending starts without holding back others at once

Cause: a task that may exceed the limit once no start of its tenant is pending held back the tasks behind it in each round. Change: it holds back none for 1 s; then it is the only one of its tenant to start, before all others, until starts under way have arrived.

--- a/galenarill/coordinator/limits.py
+++ b/galenarill/coordinator/limits.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from galenarill.common import TeamId, monotonic_now
+from galenarill.jobs import Step
 from galenarill.placement import (
     Quota,
     QuotaKind,
@@ -21,12 +22,10 @@
 
 _HELD_TASKS = meter().create_gauge("galenarill_tasks_held_by_limit")
 
-# Time that a task waits for its tenant's limit until no others of the tenant
-# start before it, in seconds. As long as until a worker is held for a task.
-OVERDUE_SECONDS = 2.0
-# Time that a tenant's tasks have waited for its limit when they are first
-# logged, and time between two lines on one tenant, in seconds.
-FIRST_LINE_SECONDS = 1.0
+# Time that a task waits for its tenant's limit until it is logged, and others
+# of the tenant make room for it, in seconds.
+OVERDUE_SECONDS = 1.0
+# Time between two lines on one tenant, in seconds.
 LINE_SECONDS = 5.0
 
 
@@ -41,13 +40,22 @@
         # It still has the number of an earlier term of this process.
         _HELD_TASKS.set(0)
 
-    def overdue_steps(self, now: float) -> set[StepId]:
-        """Return the steps that have been held back for too long."""
-        return {
-            step_id
-            for step_id, since in self._held_since.items()
-            if now >= since + OVERDUE_SECONDS
-        }
+    def overdue_steps(
+        self, groups: list[TaskGroup]
+    ) -> dict[StepId, tuple[TeamId, Step]]:
+        """Return the steps that have been held back for too long.
+
+        Args:
+            groups: Groups of ready tasks.
+
+        Returns:
+            Tenant and step by id, the one that has waited longest first.
+        """
+        latest = monotonic_now() - OVERDUE_SECONDS
+        since = self._held_since
+        overdue = [g for g in groups if since.get(g.step_id, latest) < latest]
+        overdue.sort(key=lambda group: since[group.step_id])
+        return {group.step_id: (group.tenant, group.step) for group in overdue}
 
     def update(
         self, waiting: list[TaskGroup], quotas: dict[TeamId, Quota]
@@ -92,7 +100,7 @@
         """Log the tasks of a tenant, with the one that has waited longest."""
         first = min(groups, key=lambda group: self._held_since[group.step_id])
         seconds = now - self._held_since[first.step_id]
-        if seconds < FIRST_LINE_SECONDS or now < self._log_again_at.get(
+        if seconds < OVERDUE_SECONDS or now < self._log_again_at.get(
             tenant, now
         ):
             return
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -434,7 +434,7 @@
                 others, available, quotas, usage, releases, make_candidate
             )
         )
-        overdue = self._limit_monitor.overdue_steps(now)
+        overdue = self._limit_monitor.overdue_steps(others)
         placements += place_groups(
             others,
             Packer(available, quotas, held, reservations, now, overdue),
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -3,7 +3,7 @@
 import bisect
 import dataclasses
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
 from galenarill.jobs import GANG, Incarnation, Step, TaskKey
@@ -134,7 +134,7 @@
         held: Collection[WorkerId] = (),
         reservations: ReservationBook | None = None,
         now: float = 0.0,
-        overdue: Collection[StepId] = (),
+        overdue: Mapping[StepId, tuple[TeamId, Step]] | None = None,
     ):
         """Create a packer; placing updates `available` and `quotas`.
 
@@ -144,10 +144,11 @@
             held: Workers that get long-running tasks only.
             reservations: Reservations for waiting tasks; placing updates them.
             now: Time on the monotonic clock.
-            overdue: Steps that quotas have kept waiting for too long.
+            overdue: Steps that quotas have kept waiting for too long, by id
+                with their tenant, the one that has waited longest first.
         """
         self._held = held
-        self._overdue = overdue
+        self._overdue = overdue or {}
         self._reservations = reservations or None
         self._now = now
         self._available = {
@@ -164,6 +165,12 @@
             pool: max((w.idle_at for w in members), default=-math.inf)
             for pool, members in self._available.items()
         }
+        # Step of each tenant that is the only one to start, since it waits
+        # until no start is pending.
+        self._exclusive: dict[TeamId, StepId] = {}
+        for step_id, (tenant, step) in self._overdue.items():
+            if quotas[tenant].awaits_pending_starts(step):
+                self._exclusive.setdefault(tenant, step_id)
         # Tenants with a task that holds back those behind it.
         self._held_tenants: set[TeamId] = set()
         # Tenant, whether the step is overdue, and kind of what a quota denies.
@@ -199,25 +206,24 @@
     def allows(self, tenant: TeamId, step: Step, step_id: StepId) -> bool:
         """Return whether a tenant's quota allows a task, or the whole gang.
 
-        Some tasks hold back those of the tenant that are asked about after
-        them: one that only waits for starts which are pending, since others
-        would prolong that, and one that is overdue, since smaller ones could
-        take what it waits for as long as they come.
+        An overdue task holds back others of the tenant: all of them if it only
+        waits until no start is pending, else those that are asked about after
+        it. They could start for as long as they come, and it never.
         """
         quota = self._quotas.get(tenant)
         if quota is None:
             return True
         if tenant in self._held_tenants:
             return False
+        if self._exclusive.get(tenant, step_id) != step_id:
+            return False
         if quota.fits(step):
             return True
         is_overdue = step_id in self._overdue
         kind = (tenant, is_overdue, *quota_kind(step))
         if kind in self._denied:
             return False
-        if quota.awaits_pending_starts(step) or (
-            is_overdue and quota.needs_room(step)
-        ):
+        if is_overdue and quota.needs_room(step):
             self._held_tenants.add(tenant)
             return False
         if quota.allows(step):
--- a/galenarill/placement/quota.py
+++ b/galenarill/placement/quota.py
@@ -81,13 +81,12 @@
         )
 
     def awaits_pending_starts(self, step: Step) -> bool:
-        """Return whether a task may start as soon as pending starts are over.
+        """Return whether a task may exceed the limit once none is pending.
 
-        False if that may take long, so that no others wait for it.
+        False if that may take long.
         """
         return (
-            self.has_pending_starts
-            and not self.has_unanswered_starts
+            not self.has_unanswered_starts
             and not self.fits(step)
             and self._may_exceed(step)
         )
