Place an overdue task of a tenant that has no quota any more

Cause: the packer took a quota for granted for each overdue step. A tenant that a change of the configuration drops keeps its limit while it has jobs, so that no case is known in which it is missing; an error there would end every round of placement. Change: such a tenant has no limit, as everywhere else in the packer. Measured: test_an_overdue_task_of_a_tenant_without_a_quota_is_placed fails before (a KeyError) and passes; the tests of placement and limits pass.

--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -169,7 +169,8 @@
         # until no start is pending.
         self._exclusive: dict[TeamId, StepId] = {}
         for step_id, (tenant, step) in self._overdue.items():
-            if quotas[tenant].awaits_pending_starts(step):
+            quota = quotas.get(tenant)
+            if quota is not None and quota.awaits_pending_starts(step):
                 self._exclusive.setdefault(tenant, step_id)
         # Tenants with a task that holds back those behind it.
         self._held_tenants: set[TeamId] = set()
--- a/galenarill/placement/tests/test_plan.py
+++ b/galenarill/placement/tests/test_plan.py
@@ -121,6 +121,13 @@
     assert [p.candidate.job for p in placements] == expected
 
 
+def test_an_overdue_task_of_a_tenant_without_a_quota_is_placed():
+    """Its tenant may have lost its limit since it began to wait."""
+    waiting = task("a")
+    available = {"p": [available_worker("w1")]}
+    assert place_tasks([waiting], available, {}, [waiting])
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     st.lists(st.integers(0, 4), min_size=1, max_size=4),
