--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -565,7 +565,7 @@
         total = self._total_capacity()
         runs = self._context.runs
         used = dict(runs.used_by_tenant)
-        long_running = dict(runs.long_running_by_tenant)
+        used_long_running = dict(runs.long_running_by_tenant)
         starting_runs = runs.starting_runs()
         starting = {run.tenant for run in starting_runs}
         unanswered = {
@@ -575,14 +575,14 @@
             _add(used, start.tenant, start.step.need)
             starting.add(start.tenant)
             if start.step.is_long_running:
-                _add(long_running, start.tenant, start.step.need)
+                _add(used_long_running, start.tenant, start.step.need)
         state = self._context.state
         tenants = (*state.removed_tenants, *state.routing.configuration.tenants)
         quotas = {
             tenant.name: Quota(
                 tenant.upper_limit,
                 used.get(tenant.name, Resources()),
-                long_running.get(tenant.name, Resources()),
+                used_long_running.get(tenant.name, Resources()),
                 tenant.name in starting,
                 tenant.name in unanswered,
             )
