--- a/galenarill/coordinator/limits.py
+++ b/galenarill/coordinator/limits.py
@@ -1,12 +1,15 @@
 """Shows which waiting tasks the upper limit of their tenant holds back."""
 
 import logging
+from collections.abc import Iterable
 
 import msgspec
 
 from galenarill.common import TeamId, monotonic_now
+from galenarill.coordinator.runs import RunIndex
 from galenarill.jobs import Step
 from galenarill.placement import (
+    OverdueSteps,
     Quota,
     QuotaKind,
     StepId,
@@ -14,9 +17,10 @@
     quota_kind,
     quota_need,
 )
+from galenarill.routing import Resources, Tenant
 from galenarill.telemetry import meter
 
-__all__ = ["LimitMonitor"]
+__all__ = ["LimitMonitor", "make_quotas"]
 
 logger = logging.getLogger(__name__)
 
@@ -29,6 +33,37 @@
 LINE_SECONDS = 5.0
 
 
+def make_quotas(
+    tenants: Iterable[Tenant],
+    runs: RunIndex,
+    proposed: Iterable[tuple[TeamId, Step]],
+) -> dict[TeamId, Quota]:
+    """Return the quotas of tenants by name.
+
+    Args:
+        tenants: Tenants. Of two of one name the last one counts.
+        runs: Runs in the state.
+        proposed: Tenant and step of each start that is not in the state yet.
+    """
+    starting = runs.starting_runs()
+    starting_tenants = {run.tenant for run in starting}
+    unanswered = {run.tenant for run in starting if run.has_unanswered_start}
+    quotas = {
+        tenant.name: Quota(
+            tenant.upper_limit,
+            runs.used_by_tenant.get(tenant.name, Resources()),
+            runs.long_running_by_tenant.get(tenant.name, Resources()),
+            tenant.name in starting_tenants,
+            tenant.name in unanswered,
+        )
+        for tenant in tenants
+    }
+    for tenant, step in proposed:
+        if tenant in quotas:
+            quotas[tenant].add_task(step)
+    return quotas
+
+
 class LimitMonitor:
     """Logs and counts the tasks that wait for their tenant's usage to fall."""
 
@@ -40,17 +75,8 @@
         # It still has the number of an earlier term of this process.
         _HELD_TASKS.set(0)
 
-    def overdue_steps(
-        self, groups: list[TaskGroup]
-    ) -> dict[StepId, tuple[TeamId, Step]]:
-        """Return the steps that have been held back for too long.
-
-        Args:
-            groups: Groups of ready tasks.
-
-        Returns:
-            Tenant and step by id, the one that has waited longest first.
-        """
+    def overdue_steps(self, groups: list[TaskGroup]) -> OverdueSteps:
+        """Return those steps that have been held back for too long."""
         latest = monotonic_now() - OVERDUE_SECONDS
         since = self._held_since
         overdue = [g for g in groups if since.get(g.step_id, latest) < latest]
--- a/galenarill/coordinator/placing.py
+++ b/galenarill/coordinator/placing.py
@@ -29,7 +29,7 @@
     WorkerHolds,
     WorkerReservations,
 )
-from galenarill.coordinator.limits import LimitMonitor
+from galenarill.coordinator.limits import LimitMonitor, make_quotas
 from galenarill.coordinator.orders import RunOrders
 from galenarill.coordinator.preempting import Preemptor
 from galenarill.coordinator.progress import ProgressMonitor
@@ -565,29 +565,13 @@
         total = self._total_capacity()
         runs = self._context.runs
         used = dict(runs.used_by_tenant)
-        used_long_running = dict(runs.long_running_by_tenant)
-        starting_runs = runs.starting_runs()
-        starting = {run.tenant for run in starting_runs}
-        unanswered = {
-            run.tenant for run in starting_runs if run.has_unanswered_start
-        }
         for _, start in proposed:
             _add(used, start.tenant, start.step.need)
-            starting.add(start.tenant)
-            if start.step.is_long_running:
-                _add(used_long_running, start.tenant, start.step.need)
         state = self._context.state
         tenants = (*state.removed_tenants, *state.routing.configuration.tenants)
-        quotas = {
-            tenant.name: Quota(
-                tenant.upper_limit,
-                used.get(tenant.name, Resources()),
-                used_long_running.get(tenant.name, Resources()),
-                tenant.name in starting,
-                tenant.name in unanswered,
-            )
-            for tenant in tenants
-        }
+        quotas = make_quotas(
+            tenants, runs, [(start.tenant, start.step) for _, start in proposed]
+        )
         weights = {tenant.name: tenant.weight for tenant in tenants}
         recent = (
             self._recent_usage.shares(total)
--- a/galenarill/coordinator/requests.py
+++ b/galenarill/coordinator/requests.py
@@ -31,7 +31,7 @@
     RestoreZone,
     StartWave,
 )
-from galenarill.placement import Quota
+from galenarill.placement import has_gang_above
 from galenarill.routing import Queue, Refusal
 
 __all__ = ["RequestHandler"]
@@ -148,17 +148,9 @@
         if request.job in self._state.jobs:
             return Reply(call, Code.DONE)
         if not self._state.withdrawn.covers(request.job, queue.path, tenant):
-            if self._exceeds_limit(request, tenant):
-                logger.info(
-                    "job above its tenant's limit rejected",
-                    extra={"job": request.job, "tenant": tenant},
-                )
-                return Reply(
-                    call, Code.ABOVE_LIMIT, number=ABOVE_LIMIT_RETRY_SECONDS
-                )
-            retry_after = self._retry_after_seconds(request, queue, tenant)
-            if retry_after is not None:
-                return Reply(call, Code.TOO_LATE, number=retry_after)
+            rejection = self._rejection(call, request, queue, tenant)
+            if rejection is not None:
+                return rejection
             await self._accept(request, queue, tenant)
             if request.job in self._state.jobs:
                 self._log_accepted(request, queue, tenant)
@@ -170,38 +162,36 @@
         )
         return Reply(call, Code.UNKNOWN)
 
-    def _exceeds_limit(self, request: msg.SubmitJob, tenant: TeamId) -> bool:
-        """Return whether a gang of a job needs more than its tenant may use.
-
-        A job that is being accepted doesn't: its first attempt may be
-        committed.
-        """
-        settings = self._state.routing.tenant(tenant)
-        if settings is None or request.job in self._accepting:
-            return False
-        quota = Quota(settings.upper_limit)
-        gangs = {
-            (step.need, step.count): step
-            for step in request.spec.steps
-            if step.is_gang
-        }
-        return not all(quota.ever_allows(step) for step in gangs.values())
-
-    def _retry_after_seconds(
-        self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
-    ) -> int | None:
-        """Return after how long to submit a job again, or None to accept it.
+    def _rejection(
+        self, call: int, request: msg.SubmitJob, queue: Queue, tenant: TeamId
+    ) -> Reply | None:
+        """Return the reply to a job that is rejected, or None to accept it.
 
         A job that is being accepted is never rejected: its first attempt may
         be committed.
         """
+        if request.job in self._accepting:
+            return None
+        settings = self._state.routing.tenant(tenant)
+        if settings is not None and has_gang_above(
+            settings.upper_limit, request.spec.steps
+        ):
+            logger.info(
+                "job above its tenant's limit rejected",
+                extra={"job": request.job, "tenant": tenant},
+            )
+            return Reply(
+                call, Code.ABOVE_LIMIT, number=ABOVE_LIMIT_RETRY_SECONDS
+            )
         policy = self._admission_policy()
-        if policy is None or request.job in self._accepting:
+        if policy is None:
             return None
         admission = policy.decide_admission(
             request.job, request.spec, queue, tenant
         )
-        return admission.retry_after_seconds
+        if admission.retry_after_seconds is None:
+            return None
+        return Reply(call, Code.TOO_LATE, number=admission.retry_after_seconds)
 
     async def _accept(
         self, request: msg.SubmitJob, queue: Queue, tenant: TeamId
--- a/galenarill/placement/plan.py
+++ b/galenarill/placement/plan.py
@@ -3,11 +3,11 @@
 import bisect
 import dataclasses
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 
 from galenarill.common import JobId, PoolId, TeamId, WorkerId
 from galenarill.jobs import GANG, Incarnation, Step, TaskKey
-from galenarill.placement.quota import Quota, quota_kind
+from galenarill.placement.quota import OverdueSteps, Quota, QuotaGate
 from galenarill.placement.reservation_book import ReservationBook, StepId
 from galenarill.routing import Resources
 from galenarill.workers import WorkerReport
@@ -134,7 +134,7 @@
         held: Collection[WorkerId] = (),
         reservations: ReservationBook | None = None,
         now: float = 0.0,
-        overdue: Mapping[StepId, tuple[TeamId, Step]] | None = None,
+        overdue: OverdueSteps | None = None,
     ):
         """Create a packer; placing updates `available` and `quotas`.
 
@@ -144,17 +144,16 @@
             held: Workers that get long-running tasks only.
             reservations: Reservations for waiting tasks; placing updates them.
             now: Time on the monotonic clock.
-            overdue: Steps that quotas have kept waiting for too long, by id
-                with their tenant, the one that has waited longest first.
+            overdue: Steps that quotas have kept waiting for too long.
         """
         self._held = held
-        self._overdue = overdue or {}
         self._reservations = reservations or None
         self._now = now
         self._available = {
             pool: prefer_healthy(members) for pool, members in available.items()
         }
         self._quotas = quotas
+        self._quota_gate = QuotaGate(quotas, overdue or {})
         # Free CPU, id and worker, in this order.
         self._by_free_cpu = {
             pool: sorted(map(_sort_entry, members))
@@ -165,18 +164,6 @@
             pool: max((w.idle_at for w in members), default=-math.inf)
             for pool, members in self._available.items()
         }
-        # Step of each tenant that is the only one to start, since it waits
-        # until no start is pending.
-        self._exclusive: dict[TeamId, StepId] = {}
-        for step_id, (tenant, step) in self._overdue.items():
-            quota = quotas.get(tenant)
-            if quota is not None and quota.awaits_pending_starts(step):
-                self._exclusive.setdefault(tenant, step_id)
-        # Tenants with a task that holds back those behind it.
-        self._held_tenants: set[TeamId] = set()
-        # Tenant, whether the step is overdue, and kind of what a quota denies.
-        # Nothing ends while packing.
-        self._denied: set[tuple] = set()
         # Shapes that fit nowhere. No capacity is released while packing.
         self._exhausted: set[Shape] = set()
         # Earliest end of tasks of a shape that only reservations exclude. Tasks
@@ -205,32 +192,8 @@
         )
 
     def allows(self, tenant: TeamId, step: Step, step_id: StepId) -> bool:
-        """Return whether a tenant's quota allows a task, or the whole gang.
-
-        An overdue task holds back others of the tenant: all of them if it only
-        waits until no start is pending, else those that are asked about after
-        it. They could start for as long as they come, and it never.
-        """
-        quota = self._quotas.get(tenant)
-        if quota is None:
-            return True
-        if tenant in self._held_tenants:
-            return False
-        if self._exclusive.get(tenant, step_id) != step_id:
-            return False
-        if quota.fits(step):
-            return True
-        is_overdue = step_id in self._overdue
-        kind = (tenant, is_overdue, *quota_kind(step))
-        if kind in self._denied:
-            return False
-        if is_overdue and quota.needs_room(step):
-            self._held_tenants.add(tenant)
-            return False
-        if quota.allows(step):
-            return True
-        self._denied.add(kind)
-        return False
+        """Return whether a tenant's quota allows a task, or the whole gang."""
+        return self._quota_gate.allows(tenant, step, step_id)
 
     def place(self, candidate: Candidate) -> Placement | None:
         """Assign a task or gang, or return None if it can't be placed."""
--- a/galenarill/placement/quota.py
+++ b/galenarill/placement/quota.py
@@ -1,18 +1,30 @@
 """Upper limits of tenants, and what the tenants have running."""
 
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 
+from galenarill.common import TeamId
 from galenarill.jobs import Step
+from galenarill.placement.reservation_book import StepId
 from galenarill.routing import Resources
 
-__all__ = ["Quota", "QuotaKind", "quota_kind", "quota_need"]
+__all__ = [
+    "OverdueSteps",
+    "Quota",
+    "QuotaGate",
+    "QuotaKind",
+    "has_gang_above",
+    "quota_kind",
+    "quota_need",
+]
 
 # Need of each task, number of tasks that start together, and whether they are
 # long-running.
 QuotaKind = tuple[Resources, int, bool]
+# Tenant and step by id, the step that has waited longest first.
+OverdueSteps = Mapping[StepId, tuple[TeamId, Step]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,10 +71,6 @@
             not self.has_pending_starts and self._may_exceed(step)
         )
 
-    def ever_allows(self, step: Step) -> bool:
-        """Return whether the limit allows a step if nothing is in use."""
-        return Quota(self.limit).allows(step)
-
     def fits(self, step: Step) -> bool:
         """Return whether a start keeps the limit of what a task needs."""
         need, limit, used = quota_need(step), self.limit, self.used
@@ -111,9 +119,15 @@
 
     def add(self, step: Step) -> None:
         """Record the start of a task of a step, or of its whole gang."""
-        need = quota_need(step)
+        self._add_pending(quota_need(step), step.is_long_running)
+
+    def add_task(self, step: Step) -> None:
+        """Record the start of a single task of a step, or member of a gang."""
+        self._add_pending(step.need, step.is_long_running)
+
+    def _add_pending(self, need: Resources, is_long_running: bool) -> None:
         self.used = self.used.plus(need)
-        if step.is_long_running:
+        if is_long_running:
             self.used_long_running = self.used_long_running.plus(need)
         self.has_pending_starts = True
 
@@ -148,6 +162,66 @@
         )
 
 
+class QuotaGate:
+    """Decides by the quotas which tasks may start in one round of placement.
+
+    An overdue task holds back others of its tenant: all of them if it only
+    waits until no start is pending, else those that are asked about after it.
+    They could start for as long as they come, and it never.
+    """
+
+    def __init__(self, quotas: Mapping[TeamId, Quota], overdue: OverdueSteps):
+        """Create a gate for a round in which only starts change the quotas.
+
+        Args:
+            quotas: Quotas by tenant. A tenant without an entry has no limit.
+            overdue: Steps that quotas have kept waiting for too long.
+        """
+        self._quotas = quotas
+        self._overdue = overdue
+        # Step of each tenant that is the only one to start, since it waits
+        # until no start is pending.
+        self._exclusive: dict[TeamId, StepId] = {}
+        for step_id, (tenant, step) in overdue.items():
+            quota = quotas.get(tenant)
+            if quota is not None and quota.awaits_pending_starts(step):
+                self._exclusive.setdefault(tenant, step_id)
+        # Tenants with a task that holds back those behind it.
+        self._held_tenants: set[TeamId] = set()
+        # Tenant, whether the step is overdue, and kind of what is denied. It
+        # stays denied, since nothing ends during a round.
+        self._denied: set[tuple] = set()
+
+    def allows(self, tenant: TeamId, step: Step, step_id: StepId) -> bool:
+        """Return whether a task of a step, or its whole gang, may start."""
+        quota = self._quotas.get(tenant)
+        if quota is None:
+            return True
+        if tenant in self._held_tenants:
+            return False
+        if self._exclusive.get(tenant, step_id) != step_id:
+            return False
+        if quota.fits(step):
+            return True
+        is_overdue = step_id in self._overdue
+        kind = (tenant, is_overdue, *quota_kind(step))
+        if kind in self._denied:
+            return False
+        if is_overdue and quota.needs_room(step):
+            self._held_tenants.add(tenant)
+            return False
+        if quota.allows(step):
+            return True
+        self._denied.add(kind)
+        return False
+
+
+def has_gang_above(limit: Resources, steps: Iterable[Step]) -> bool:
+    """Return whether a limit rules out a gang even if nothing is in use."""
+    gangs = {(step.need, step.count): step for step in steps if step.is_gang}
+    return not all(Quota(limit).allows(step) for step in gangs.values())
+
+
 def quota_kind(step: Step) -> QuotaKind:
     """Return what decides whether a limit allows a task, or a whole gang."""
     members = step.count if step.is_gang else 1
