Hand out each port of the stand-ins once

Cause: `free_port` draws a port that nobody listens on and forgets it. Two processes of a fleet may be given the same one before either listens. Change: a port is returned once in a process. Measured: test_no_port_is_handed_out_twice failed before (972 different ports of 1,000) and passes.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -27,16 +27,22 @@
 STOP_SECONDS = 30.0
 FREE_PORT_RANGE = range(15_000, 32_000)
 
+# Ports that were returned before. Who asked for one may not listen yet.
+_handed_out: set[int] = set()
+
 
 def free_port() -> int:
-    """Return an unused port on loopback.
+    """Return an unused port on loopback, another one at each call.
 
     The port is below the kernel's ephemeral port range. Otherwise an outgoing
     connection could take it before the process that will listen on it starts.
     """
     for port in random.sample(FREE_PORT_RANGE, len(FREE_PORT_RANGE)):
+        if port in _handed_out:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
+            _handed_out.add(port)
             return port
     raise RuntimeError("every port in FREE_PORT_RANGE is in use")
 
